--- /dev/null
+++ b/Libraries/LibCore/address.cc
@@ -0,0 +1,30 @@
+#include "LibCore/address.h"
+
+#include <charconv>
+
+namespace kcm::core {
+
+auto ParseAddress(std::string_view text, std::string_view field, Reason& reason)
+    -> std::optional<Address> {
+  const auto colon = text.rfind(':');
+  const auto fail = [&] {
+    return reason.Fail(ErrorKind::kBadInput, std::string(field),
+                       "\"" + std::string(text) +
+                           "\" is no address; allowed is IP:PORT with a port "
+                           "from 1 to 65535.");
+  };
+  if (colon == std::string_view::npos || colon == 0) {
+    return fail();
+  }
+  const auto digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size() ||
+      port == 0) {
+    return fail();
+  }
+  return Address{std::string(text.substr(0, colon)), port};
+}
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibCore/error_kind.cc
@@ -0,0 +1,70 @@
+#include "LibCore/error_kind.h"
+
+#include <array>
+
+#include "LibCore/check.h"
+
+namespace kcm::core {
+
+namespace {
+
+constexpr std::array kAnswers = {
+    ErrorAnswer{ErrorKind::kNone, "none", 200, Conclusion::kDone, false},
+    ErrorAnswer{ErrorKind::kBadInput, "bad_input", 400, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kBadToken, "bad_token", 401, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kForbidden, "forbidden", 403, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kNotFound, "not_found", 404, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kConflict, "conflict", 409, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kNeverFits, "never_fits", 422, Conclusion::kNotRun,
+                false},
+    ErrorAnswer{ErrorKind::kOverLimit, "over_limit", 429, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kQueueFull, "queue_full", 429, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kTooLate, "too_late", 503, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kNoEndpoint, "no_endpoint", 503, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kLogDown, "log_down", 503, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kDraining, "draining", 503, Conclusion::kNotRun,
+                true},
+    ErrorAnswer{ErrorKind::kEndpointFailed, "endpoint_failed", 502,
+                Conclusion::kFailed, false},
+    ErrorAnswer{ErrorKind::kOutcomeUnknown, "outcome_unknown", 504,
+                Conclusion::kUnknown, false},
+    ErrorAnswer{ErrorKind::kInternal, "internal", 500, Conclusion::kUnknown,
+                false},
+};
+
+constexpr std::array<std::string_view, 4> kConclusionNames = {
+    "done", "not_run", "failed", "unknown"};
+
+}  // namespace
+
+auto AnswerOf(ErrorKind kind) -> const ErrorAnswer& {
+  const auto index = static_cast<std::size_t>(kind);
+  KCM_CHECK(index < kAnswers.size());
+  KCM_CHECK(kAnswers[index].kind == kind);
+  return kAnswers[index];
+}
+
+auto ErrorKindOf(std::string_view name) -> ErrorKind {
+  for (const auto& answer : kAnswers) {
+    if (answer.name == name) {
+      return answer.kind;
+    }
+  }
+  return ErrorKind::kInternal;
+}
+
+auto NameOf(Conclusion conclusion) -> std::string_view {
+  return kConclusionNames[static_cast<std::size_t>(conclusion)];
+}
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibCore/event.cc
@@ -0,0 +1,118 @@
+#include "LibCore/event.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <string>
+
+#include "LibCore/check.h"
+#include "LibCore/clock.h"
+
+namespace kcm::core {
+
+namespace {
+
+constexpr std::array kCatalogue = {
+    EventInfo{Event::kStarted, "started", Severity::kInfo},
+    EventInfo{Event::kDraining, "draining", Severity::kInfo},
+    EventInfo{Event::kStopped, "stopped", Severity::kInfo},
+    EventInfo{Event::kBadMessage, "bad_message", Severity::kWarning},
+    EventInfo{Event::kPeerSuspected, "peer_suspected", Severity::kWarning},
+    EventInfo{Event::kPeerAlive, "peer_alive", Severity::kInfo},
+    EventInfo{Event::kLogUnreachable, "log_unreachable", Severity::kError},
+    EventInfo{Event::kLogReachable, "log_reachable", Severity::kInfo},
+    EventInfo{Event::kReaderTakenOver, "reader_taken_over", Severity::kInfo},
+    EventInfo{Event::kFollowGap, "follow_gap", Severity::kWarning},
+    EventInfo{Event::kRecordRejected, "record_rejected", Severity::kWarning},
+    EventInfo{Event::kTermClaimed, "term_claimed", Severity::kInfo},
+    EventInfo{Event::kTermLost, "term_lost", Severity::kWarning},
+    EventInfo{Event::kJobPlaced, "job_placed", Severity::kInfo},
+    EventInfo{Event::kJobEnded, "job_ended", Severity::kInfo},
+    EventInfo{Event::kLeaseRefused, "lease_refused", Severity::kWarning},
+    EventInfo{Event::kGangBroken, "gang_broken", Severity::kWarning},
+    EventInfo{Event::kWorkerUnreachable, "worker_unreachable",
+              Severity::kWarning},
+    EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
+    EventInfo{Event::kRequestRetried, "request_retried", Severity::kInfo},
+    EventInfo{Event::kRequestUnknown, "request_unknown", Severity::kWarning},
+    EventInfo{Event::kEndpointEjected, "endpoint_ejected", Severity::kWarning},
+};
+
+struct LogOutput {
+  std::string process;
+  bool as_json = false;
+};
+
+auto Output() -> LogOutput& {
+  static LogOutput output;
+  return output;
+}
+
+auto InfoOf(Event event) -> const EventInfo& {
+  for (const auto& info : kCatalogue) {
+    if (info.event == event) {
+      return info;
+    }
+  }
+  KCM_CHECK(false && "every event stands in the catalogue");
+  return kCatalogue.front();
+}
+
+auto LineOf(const EventInfo& info, const Json& fields) -> std::string {
+  const auto number = static_cast<int>(info.event);
+  if (Output().as_json) {
+    Json line = fields;
+    line["at_ms"] = WallNow();
+    line["process"] = Output().process;
+    line["event"] = number;
+    line["name"] = info.name;
+    return line.dump();
+  }
+  std::string line = "K" + std::to_string(number) + " ";
+  line += info.name;
+  for (const auto& [key, value] : fields.items()) {
+    line += " " + key + "=" + value.dump();
+  }
+  return line;
+}
+
+}  // namespace
+
+auto EventCatalogue() -> std::span<const EventInfo> {
+  return kCatalogue;
+}
+
+auto SetUpLogging(std::string_view process, bool as_json) -> void {
+  Output() = {std::string(process), as_json};
+  const std::string pattern =
+      as_json ? "%m%n" : "%d %-5p " + Output().process + " %m%n";
+  auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemErr());
+  auto root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(appender);
+  root->setLevel(log4cxx::Level::getInfo());
+}
+
+auto LogEvent(Event event, const Json& fields) -> void {
+  static const auto logger = log4cxx::Logger::getLogger("kcm");
+  const auto& info = InfoOf(event);
+  const auto line = LineOf(info, fields);
+  switch (info.severity) {
+    case Severity::kInfo:
+      LOG4CXX_INFO(logger, line);
+      return;
+    case Severity::kWarning:
+      LOG4CXX_WARN(logger, line);
+      return;
+    case Severity::kError:
+      LOG4CXX_ERROR(logger, line);
+      return;
+  }
+}
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibCore/event.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "LibCore/json.h"
+
+namespace kcm::core {
+
+/// The numbered log events; docs/EVENTS.md says what each one asks for.
+enum class Event : std::uint16_t {
+  kStarted = 100,
+  kDraining = 101,
+  kStopped = 102,
+  kBadMessage = 103,
+  kPeerSuspected = 200,
+  kPeerAlive = 201,
+  kLogUnreachable = 210,
+  kLogReachable = 211,
+  kReaderTakenOver = 212,
+  kFollowGap = 213,
+  kRecordRejected = 214,
+  kTermClaimed = 300,
+  kTermLost = 301,
+  kJobPlaced = 310,
+  kJobEnded = 311,
+  kLeaseRefused = 312,
+  kGangBroken = 313,
+  kWorkerUnreachable = 314,
+  kRowEdited = 400,
+  kRequestRetried = 410,
+  kRequestUnknown = 411,
+  kEndpointEjected = 412,
+};
+
+/// Severity of a log event.
+enum class Severity : std::uint8_t { kInfo, kWarning, kError };
+
+/// One row of the event catalogue.
+struct EventInfo {
+  Event event;
+  std::string_view name;
+  Severity severity;
+};
+
+/// Lists the whole catalogue in the order of the numbers.
+auto EventCatalogue() -> std::span<const EventInfo>;
+
+/// Sets up logging of this process to standard error.
+/// @param process the name shown in each line, for example "entry-1/gateway".
+/// @param as_json one JSON object a line in place of text.
+auto SetUpLogging(std::string_view process, bool as_json) -> void;
+
+/// Logs one event with its fields.
+auto LogEvent(Event event, const Json& fields = Json::object()) -> void;
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibCore/field_table.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+#include "LibCore/address.h"
+#include "LibCore/json.h"
+#include "LibCore/nearest.h"
+#include "LibCore/reason.h"
+
+namespace kcm::core {
+
+/// One checked member of a plain struct that comes from outside.
+template <typename T>
+struct Field {
+  std::string_view name;
+  std::variant<std::string T::*,
+               std::int64_t T::*,
+               double T::*,
+               bool T::*,
+               Address T::*>
+      member;
+  bool required = false;
+  /// Least and greatest number, or least and greatest length of a text.
+  double minimum = 0;
+  double maximum = std::numeric_limits<double>::max();
+  std::string_view description;
+};
+
+/// Formats a bound without a needless fraction.
+auto FormatBound(double bound) -> std::string;
+
+namespace detail {
+
+auto StoreValue(const Json& value, std::string& target) -> bool;
+auto StoreValue(const Json& value, std::int64_t& target) -> bool;
+auto StoreValue(const Json& value, double& target) -> bool;
+auto StoreValue(const Json& value, bool& target) -> bool;
+auto StoreValue(const Json& value, Address& target) -> bool;
+auto TypeNameOf(const std::string& value) -> std::string_view;
+auto TypeNameOf(const std::int64_t& value) -> std::string_view;
+auto TypeNameOf(const double& value) -> std::string_view;
+auto TypeNameOf(const bool& value) -> std::string_view;
+auto TypeNameOf(const Address& value) -> std::string_view;
+auto SizeOf(const std::string& value) -> double;
+auto SizeOf(const std::int64_t& value) -> double;
+auto SizeOf(const double& value) -> double;
+auto SizeOf(const bool& value) -> double;
+auto SizeOf(const Address& value) -> double;
+
+template <typename Value>
+inline constexpr bool kHasBounds =
+    !std::is_same_v<Value, bool> && !std::is_same_v<Value, Address>;
+
+}  // namespace detail
+
+/// Reads one member.
+/// @return whether it was taken; otherwise `reason` names field and value.
+template <typename T>
+[[nodiscard]] auto ReadField(const Field<T>& field,
+                             const Json& value,
+                             T& target,
+                             Reason& reason) -> bool {
+  return std::visit(
+      [&](auto member) {
+        auto& slot = target.*member;
+        const auto stored = detail::StoreValue(value, slot);
+        const auto size = detail::SizeOf(slot);
+        if (stored && size >= field.minimum && size <= field.maximum) {
+          return true;
+        }
+        auto allowed = std::string(detail::TypeNameOf(slot));
+        if constexpr (detail::kHasBounds<std::decay_t<decltype(slot)>>) {
+          allowed += " from " + FormatBound(field.minimum);
+          if (field.maximum < std::numeric_limits<double>::max()) {
+            allowed += " to " + FormatBound(field.maximum);
+          }
+          allowed += std::is_same_v<std::decay_t<decltype(slot)>, std::string>
+                         ? " characters"
+                         : "";
+        }
+        reason = {ErrorKind::kBadInput, std::string(field.name),
+                  std::string(field.name) + " is " + value.dump() +
+                      "; allowed is " + allowed + "."};
+        return false;
+      },
+      field.member);
+}
+
+/// Reads a struct from a document by its table of fields.
+/// @param extra names of members that the caller reads itself.
+/// @return the struct, or nothing with `reason` naming field, value and what
+///     is allowed.
+template <typename T>
+[[nodiscard]] auto ReadFields(std::span<const Field<T>> fields,
+                              const Json& document,
+                              std::span<const std::string_view> extra,
+                              Reason& reason) -> std::optional<T> {
+  if (!document.is_object()) {
+    return reason.Fail(ErrorKind::kBadInput, "",
+                       "The document is no object with named members.");
+  }
+  std::vector<std::string> known(extra.begin(), extra.end());
+  for (const auto& field : fields) {
+    known.emplace_back(field.name);
+  }
+  for (const auto& [name, value] : document.items()) {
+    if (std::find(known.begin(), known.end(), name) == known.end()) {
+      return reason.Fail(
+          ErrorKind::kBadInput, name,
+          "\"" + name + "\" is no known member." + DidYouMean(name, known));
+    }
+  }
+  T target{};
+  for (const auto& field : fields) {
+    if (!document.contains(field.name)) {
+      if (field.required) {
+        return reason.Fail(ErrorKind::kBadInput, std::string(field.name),
+                           std::string(field.name) + " is missing.");
+      }
+      continue;
+    }
+    if (!ReadField(field, document.at(std::string(field.name)), target,
+                   reason)) {
+      return std::nullopt;
+    }
+  }
+  return target;
+}
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibCore/reason.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "LibCore/error_kind.h"
+#include "LibCore/json.h"
+
+namespace kcm::core {
+
+/// Why the last fallible call returned no value.
+struct Reason {
+  ErrorKind kind = ErrorKind::kNone;
+  /// The setting, column or member at fault; empty when none is.
+  std::string field;
+  /// A full sentence with the value seen and what is allowed.
+  std::string message;
+
+  /// Records a failure.
+  /// @return always std::nullopt, so that a caller can return the call.
+  auto Fail(ErrorKind failed_kind,
+            std::string failed_field,
+            std::string failed_message) -> std::nullopt_t {
+    kind = failed_kind;
+    field = std::move(failed_field);
+    message = std::move(failed_message);
+    return std::nullopt;
+  }
+};
+
+/// Writes a reason as the body of an error answer.
+auto ToErrorBody(const Reason& reason) -> Json;
+
+/// Reads a reason from the body of an error answer.
+auto FromErrorBody(const Json& body) -> Reason;
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibNet/bus.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <nng/nng.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibCore/address.h"
+#include "LibCore/json.h"
+#include "LibCore/reason.h"
+#include "LibNet/event_loop.h"
+
+namespace kcm::net {
+
+/// One message between two processes of ours.
+struct BusMessage {
+  /// The sender's process name, for example "entry-1/relay".
+  std::string from;
+  /// The type of the body, for example "log_records".
+  std::string type;
+  core::Json body;
+};
+
+/// Message counts of one bus.
+struct BusCounters {
+  std::uint64_t sent = 0;
+  std::uint64_t dropped = 0;
+  std::uint64_t received = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+};
+
+/// Exchanges one-way messages with the other processes over nng.
+///
+/// Each process listens on one PULL socket and dials one PUSH socket per
+/// peer. Delivery is not promised: a message that finds the peer's buffer
+/// full is dropped and counted, and every protocol above repeats itself.
+class Bus {
+ public:
+  using Handler = std::function<void(const BusMessage&)>;
+
+  /// Starts to listen.
+  /// @param self the name that peers see in `BusMessage::from`.
+  /// @return the bus, or nothing with `reason` naming the address.
+  [[nodiscard]] static auto create(EventLoop& loop,
+                                   std::string self,
+                                   const core::Address& address,
+                                   core::Reason& reason)
+      -> std::unique_ptr<Bus>;
+
+  ~Bus();
+  Bus(const Bus&) = delete;
+  auto operator=(const Bus&) -> Bus& = delete;
+
+  /// Calls `handler` for every message of a type.
+  auto OnMessage(const std::string& type, Handler handler) -> void;
+
+  /// Makes a peer known; nng connects and reconnects on its own.
+  auto AddPeer(const std::string& peer, const core::Address& address) -> void;
+
+  /// Sends a message, or drops it when the peer is unknown or too slow.
+  auto Send(const std::string& peer,
+            const std::string& type,
+            const core::Json& body) -> void;
+
+  [[nodiscard]] auto self() const -> const std::string& { return self_; }
+  [[nodiscard]] auto counters() const -> const BusCounters& {
+    return counters_;
+  }
+
+ private:
+  Bus(std::string self, nng_socket inbox)
+      : self_(std::move(self)), inbox_(inbox) {}
+
+  auto Receive() -> void;
+  auto Deliver(const nng_msg* message) -> void;
+
+  std::string self_;
+  nng_socket inbox_;
+  std::map<std::string, nng_socket> peers_;
+  std::map<std::string, Handler> handlers_;
+  BusCounters counters_;
+};
+
+}  // namespace kcm::net
--- /dev/null
+++ b/Libraries/LibNet/event_loop.cc
@@ -0,0 +1,96 @@
+#include "LibNet/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <utility>
+
+#include "LibCore/check.h"
+
+namespace kcm::net {
+
+namespace {
+
+auto ToTimeval(core::Millis span) -> timeval {
+  return {static_cast<time_t>(span / 1000),
+          static_cast<suseconds_t>((span % 1000) * 1000)};
+}
+
+auto RunOnce(evutil_socket_t /*unused*/, short /*unused*/, void* argument)
+    -> void {
+  const std::unique_ptr<EventLoop::Handler> handler(
+      static_cast<EventLoop::Handler*>(argument));
+  (*handler)();
+}
+
+auto RunAgain(evutil_socket_t /*unused*/, short /*unused*/, void* argument)
+    -> void {
+  (*static_cast<EventLoop::Handler*>(argument))();
+}
+
+}  // namespace
+
+struct EventLoop::Watch {
+  Handler handler;
+  event* source = nullptr;
+
+  ~Watch() {
+    if (source != nullptr) {
+      event_free(source);
+    }
+  }
+};
+
+EventLoop::EventLoop() : base_(event_base_new()) {
+  KCM_CHECK(base_ != nullptr);
+}
+
+EventLoop::~EventLoop() {
+  watches_.clear();
+  event_base_free(base_);
+}
+
+auto EventLoop::Run() -> void {
+  event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+auto EventLoop::Stop() -> void {
+  event_base_loopexit(base_, nullptr);
+}
+
+auto EventLoop::After(core::Millis delay, Handler handler) -> void {
+  const auto span = ToTimeval(delay);
+  auto argument = std::make_unique<Handler>(std::move(handler));
+  const auto added = event_base_once(base_, -1, EV_TIMEOUT, RunOnce,
+                                     argument.release(), &span);
+  KCM_CHECK(added == 0);
+}
+
+auto EventLoop::Every(core::Millis period, Handler handler) -> void {
+  auto& watch = AddWatch(-1, EV_PERSIST, std::move(handler));
+  const auto span = ToTimeval(period);
+  event_add(watch.source, &span);
+}
+
+auto EventLoop::OnReadable(int descriptor, Handler handler) -> void {
+  auto& watch = AddWatch(descriptor, EV_READ | EV_PERSIST, std::move(handler));
+  event_add(watch.source, nullptr);
+}
+
+auto EventLoop::OnSignal(int signal_number, Handler handler) -> void {
+  auto& watch =
+      AddWatch(signal_number, EV_SIGNAL | EV_PERSIST, std::move(handler));
+  event_add(watch.source, nullptr);
+}
+
+auto EventLoop::AddWatch(int descriptor, short what, Handler handler)
+    -> Watch& {
+  auto watch = std::make_unique<Watch>();
+  watch->handler = std::move(handler);
+  watch->source = event_new(base_, descriptor, what, RunAgain, &watch->handler);
+  KCM_CHECK(watch->source != nullptr);
+  watches_.push_back(std::move(watch));
+  return *watches_.back();
+}
+
+}  // namespace kcm::net
--- /dev/null
+++ b/Libraries/LibNet/http_client.cc
@@ -0,0 +1,166 @@
+#include "LibNet/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+#include "LibCore/check.h"
+
+namespace kcm::net {
+
+namespace {
+
+constexpr std::size_t kMaxIdlePerServer = 64;
+
+struct MethodType {
+  std::string_view name;
+  evhttp_cmd_type type;
+};
+
+constexpr std::array kMethodTypes = {
+    MethodType{"GET", EVHTTP_REQ_GET},
+    MethodType{"POST", EVHTTP_REQ_POST},
+    MethodType{"PUT", EVHTTP_REQ_PUT},
+    MethodType{"DELETE", EVHTTP_REQ_DELETE},
+    MethodType{"PATCH", EVHTTP_REQ_PATCH},
+};
+
+auto TypeOf(std::string_view method) -> evhttp_cmd_type {
+  for (const auto& row : kMethodTypes) {
+    if (row.name == method) {
+      return row.type;
+    }
+  }
+  return EVHTTP_REQ_GET;
+}
+
+auto TargetOf(const HttpRequest& request) -> std::string {
+  std::string target = request.path;
+  char separator = '?';
+  for (const auto& [name, value] : request.query) {
+    target += separator + EncodeUri(name) + "=" + EncodeUri(value);
+    separator = '&';
+  }
+  return target;
+}
+
+/// A length-delimited answer is whole by evhttp's own check; one that ends
+/// with the connection cannot be told from a truncated one.
+auto IsDelimited(evkeyvalq* headers) -> bool {
+  return evhttp_find_header(headers, "Content-Length") != nullptr ||
+         evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
+/// evhttp calls back without a request when a connection broke, and with an
+/// unanswered one when no connection was made.
+auto ExchangeOf(evhttp_request* request) -> Exchange {
+  if (request == nullptr) {
+    return Exchange::kBroken;
+  }
+  if (evhttp_request_get_response_code(request) == 0) {
+    return Exchange::kNeverSent;
+  }
+  return IsDelimited(evhttp_request_get_input_headers(request))
+             ? Exchange::kAnswered
+             : Exchange::kBroken;
+}
+
+auto CopyAnswer(evhttp_request* request) -> HttpAnswer {
+  HttpAnswer answer;
+  answer.status = evhttp_request_get_response_code(request);
+  auto* headers = evhttp_request_get_input_headers(request);
+  for (auto* pair = headers->tqh_first; pair != nullptr;
+       pair = pair->next.tqe_next) {
+    std::string name = pair->key;
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
+    answer.headers[name] = pair->value;
+  }
+  auto* buffer = evhttp_request_get_input_buffer(request);
+  answer.body.resize(evbuffer_get_length(buffer));
+  evbuffer_copyout(buffer, answer.body.data(), answer.body.size());
+  return answer;
+}
+
+}  // namespace
+
+struct HttpClient::Call {
+  HttpClient& client;
+  core::Address server;
+  evhttp_connection* connection;
+  Done done;
+};
+
+HttpClient::~HttpClient() {
+  for (auto& [server, connections] : idle_) {
+    for (auto* connection : connections) {
+      evhttp_connection_free(connection);
+    }
+  }
+}
+
+auto HttpClient::TakeConnection(const core::Address& server)
+    -> evhttp_connection* {
+  auto& idle = idle_[server];
+  if (!idle.empty()) {
+    auto* connection = idle.back();
+    idle.pop_back();
+    return connection;
+  }
+  return evhttp_connection_base_new(loop_.base(), nullptr, server.host.c_str(),
+                                    server.port);
+}
+
+auto HttpClient::Send(const core::Address& server,
+                      const HttpRequest& request,
+                      core::Millis timeout,
+                      Done done) -> void {
+  auto* connection = TakeConnection(server);
+  const timeval span{static_cast<time_t>(timeout / 1000),
+                     static_cast<suseconds_t>((timeout % 1000) * 1000)};
+  evhttp_connection_set_timeout_tv(connection, &span);
+  auto call =
+      std::make_unique<Call>(Call{*this, server, connection, std::move(done)});
+  auto* outgoing = evhttp_request_new(OnAnswer, call.release());
+  auto* headers = evhttp_request_get_output_headers(outgoing);
+  evhttp_add_header(headers, "Host", server.ToString().c_str());
+  for (const auto& [name, value] : request.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
+               request.body.size());
+  // On failure evhttp has called OnAnswer already or owns the request.
+  evhttp_make_request(connection, outgoing, TypeOf(request.method),
+                      TargetOf(request).c_str());
+}
+
+auto HttpClient::OnAnswer(evhttp_request* request, void* argument) -> void {
+  const std::unique_ptr<Call> call(static_cast<Call*>(argument));
+  call->client.Finish(*call, request);
+}
+
+auto HttpClient::Finish(Call& call, evhttp_request* request) -> void {
+  HttpResult result;
+  result.exchange = ExchangeOf(request);
+  if (result.exchange == Exchange::kAnswered) {
+    result.answer = CopyAnswer(request);
+  }
+  auto& idle = idle_[call.server];
+  auto* connection = call.connection;
+  if (result.exchange == Exchange::kAnswered &&
+      idle.size() < kMaxIdlePerServer) {
+    idle.push_back(connection);
+  } else {
+    // evhttp still uses the connection while it calls back.
+    loop_.After(0, [connection] { evhttp_connection_free(connection); });
+  }
+  call.done(std::move(result));
+}
+
+}  // namespace kcm::net
--- /dev/null
+++ b/Libraries/LibNet/http_server.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "LibCore/address.h"
+#include "LibCore/reason.h"
+#include "LibNet/event_loop.h"
+#include "LibNet/http_message.h"
+
+struct evhtp;
+struct evhtp_request;
+
+namespace kcm::net {
+
+/// The right to answer one request, once. Copies share that right.
+class HttpReply {
+ public:
+  struct State;
+
+  explicit HttpReply(std::shared_ptr<State> state) : state_(std::move(state)) {}
+
+  /// Sends the answer, unless one was sent before or the caller has left.
+  auto Send(const HttpAnswer& answer) const -> void;
+
+  /// Sends a JSON document with a status.
+  auto SendJson(int status, const core::Json& document) const -> void;
+
+  /// Sends the answer that belongs to the reason's kind.
+  auto SendError(const core::Reason& reason) const -> void;
+
+ private:
+  std::shared_ptr<State> state_;
+};
+
+/// Serves HTTP on one address by libevhtp.
+class HttpServer {
+ public:
+  using Handler = std::function<void(HttpRequest, HttpReply)>;
+
+  /// Starts to listen.
+  /// @return the server, or nothing with `reason` naming the address.
+  [[nodiscard]] static auto create(EventLoop& loop,
+                                   const core::Address& address,
+                                   Handler handler,
+                                   core::Reason& reason)
+      -> std::unique_ptr<HttpServer>;
+
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  auto operator=(const HttpServer&) -> HttpServer& = delete;
+
+  /// Accepts no new connections; those open are served to their end.
+  auto StopListening() -> void;
+
+  /// @return requests that were read and not yet answered.
+  [[nodiscard]] auto pending() const -> int { return *pending_; }
+
+  /// Hands a request of libevhtp to the handler; for the C callback only.
+  auto Dispatch(evhtp_request* request) -> void;
+
+ private:
+  HttpServer(evhtp* server, Handler handler);
+
+  evhtp* server_;
+  Handler handler_;
+  std::shared_ptr<int> pending_ = std::make_shared<int>(0);
+  bool listening_ = true;
+};
+
+}  // namespace kcm::net
--- /dev/null
+++ b/Libraries/LibNode/heartbeats.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibMember/peer_table.h"
+#include "LibNet/bus.h"
+#include "LibNet/event_loop.h"
+
+namespace kcm::node {
+
+/// Exchanges heartbeats with peers and knows who is alive.
+class Heartbeats {
+ public:
+  Heartbeats(net::EventLoop& loop,
+             net::Bus& bus,
+             std::vector<std::string> peers);
+
+  /// @return whether a peer was heard lately; a process is alive to itself.
+  [[nodiscard]] auto IsAlive(const std::string& peer) const -> bool;
+
+  /// @return the names of the peers alive now, this process left out.
+  [[nodiscard]] auto Alive() const -> std::vector<std::string>;
+
+  /// Tells the peers at once that this process is leaving.
+  auto SayLeaving() -> void;
+
+ private:
+  auto Beat() -> void;
+
+  net::Bus& bus_;
+  std::vector<std::string> peers_;
+  member::PeerTable table_;
+  std::vector<std::string> known_alive_;
+  bool leaving_ = false;
+};
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibNode/node.cc
@@ -0,0 +1,108 @@
+#include "LibNode/node.h"
+
+#include <array>
+#include <utility>
+
+namespace kcm::node {
+
+namespace {
+
+/// Where the settings keep what differs between the roles.
+struct RoleRow {
+  Role role;
+  std::string_view name;
+  core::Address NodeSettings::*bus;
+  core::Address NodeSettings::*metrics;
+  core::Address PeerSettings::*peer_bus;
+};
+
+constexpr std::array kRoles = {
+    RoleRow{Role::kGateway, "gateway", &NodeSettings::gateway_bus,
+            &NodeSettings::gateway_metrics, &PeerSettings::gateway_bus},
+    RoleRow{Role::kScheduler, "scheduler", &NodeSettings::scheduler_bus,
+            &NodeSettings::scheduler_metrics, &PeerSettings::scheduler_bus},
+    RoleRow{Role::kRelay, "relay", &NodeSettings::relay_bus,
+            &NodeSettings::relay_metrics, &PeerSettings::relay_bus},
+};
+
+auto RowOf(Role role) -> const RoleRow& {
+  return kRoles[static_cast<std::size_t>(role)];
+}
+
+auto NamesOf(const std::vector<DataCentreSettings>& data_centres)
+    -> std::vector<std::string> {
+  std::vector<std::string> names;
+  names.reserve(data_centres.size());
+  for (const auto& data_centre : data_centres) {
+    names.push_back(data_centre.name);
+  }
+  return names;
+}
+
+}  // namespace
+
+auto NameOf(Role role) -> std::string_view {
+  return RowOf(role).name;
+}
+
+auto BusNameOf(const std::string& vm, Role role) -> std::string {
+  return vm + "/" + std::string(NameOf(role));
+}
+
+Node::Node(NodeSettings settings)
+    : settings_(std::move(settings)),
+      http_(loop_),
+      log_(NamesOf(settings_.data_centres)),
+      log_client_(http_, settings_.platform_log),
+      vm_list_(http_, settings_.platform_vms),
+      writer_(loop_, log_, log_client_) {}
+
+auto Node::create(NodeSettings settings, Role role, core::Reason& reason)
+    -> std::unique_ptr<Node> {
+  std::unique_ptr<Node> node(new Node(std::move(settings)));
+  const auto& own = node->settings_;
+  node->bus_ = net::Bus::create(node->loop_, BusNameOf(own.name, role),
+                                own.*RowOf(role).bus, reason);
+  if (node->bus_ == nullptr) {
+    return nullptr;
+  }
+  node->metrics_ =
+      Metrics::create(node->loop_, own.*RowOf(role).metrics, reason);
+  if (node->metrics_ == nullptr) {
+    return nullptr;
+  }
+  for (const auto& peer : own.peers) {
+    for (const auto& row : kRoles) {
+      const auto name = BusNameOf(peer.name, row.role);
+      if (name != node->self()) {
+        node->bus_->AddPeer(name, peer.*row.peer_bus);
+      }
+    }
+  }
+  return node;
+}
+
+auto Node::PeersOf(Role role, const std::string& region) const
+    -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto& peer : settings_.peers) {
+    if (peer.name != settings_.name &&
+        (region.empty() || peer.region == region)) {
+      names.push_back(BusNameOf(peer.name, role));
+    }
+  }
+  return names;
+}
+
+auto Node::DataCentresOf(const std::string& region) const
+    -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto& data_centre : settings_.data_centres) {
+    if (region.empty() || data_centre.region == region) {
+      names.push_back(data_centre.name);
+    }
+  }
+  return names;
+}
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibNode/node_settings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "LibCore/address.h"
+#include "LibCore/field_table.h"
+#include "LibCore/reason.h"
+
+namespace kcm::node {
+
+/// Another entry VM, as the settings name it.
+struct PeerSettings {
+  std::string name;
+  std::string data_centre;
+  std::string region;
+  core::Address gateway_bus;
+  core::Address scheduler_bus;
+  core::Address relay_bus;
+};
+
+/// A data centre of the installation.
+struct DataCentreSettings {
+  std::string name;
+  std::string region;
+};
+
+/// Settings of one entry VM, shared by its processes.
+struct NodeSettings {
+  std::string name;
+  std::string data_centre;
+  std::string region;
+  bool json_logs = false;
+  core::Address gateway_http;
+  core::Address gateway_bus;
+  core::Address gateway_metrics;
+  std::string operator_token_sha256;
+  core::Address scheduler_bus;
+  core::Address scheduler_metrics;
+  core::Address relay_bus;
+  core::Address relay_metrics;
+  core::Address platform_log;
+  core::Address platform_vms;
+  std::int64_t drain_timeout_ms = 30000;
+  std::int64_t slots_per_minion = 8;
+  std::int64_t connections_per_minion = 64;
+  std::vector<PeerSettings> peers;
+  std::vector<DataCentreSettings> data_centres;
+};
+
+/// The table that checks the settings; names are "section.key".
+[[nodiscard]] auto NodeFields() -> std::span<const core::Field<NodeSettings>>;
+
+/// Reads and checks a settings file whole.
+/// @return the settings, or nothing with `reason` naming file, line, key, the
+///     value and what is allowed.
+[[nodiscard]] auto LoadNodeSettings(const std::string& path,
+                                    core::Reason& reason)
+    -> std::optional<NodeSettings>;
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibNode/relay_choice.cc
@@ -0,0 +1,25 @@
+#include "LibNode/relay_choice.h"
+
+namespace kcm::node {
+
+namespace {
+
+constexpr core::Millis kRelaySilence = 1000;
+
+}  // namespace
+
+auto PreferOwnRelay(const Node& node) -> LogFollower::Choose {
+  std::vector<std::string> relays = {
+      BusNameOf(node.settings().name, Role::kRelay)};
+  for (auto& peer : node.PeersOf(Role::kRelay, node.settings().region)) {
+    relays.push_back(std::move(peer));
+  }
+  return [relays, index = std::size_t{0}](core::Millis silent) mutable {
+    if (silent > kRelaySilence) {
+      index = (index + 1) % relays.size();
+    }
+    return relays[index];
+  };
+}
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibNode/relay_choice.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "LibNode/log_follower.h"
+#include "LibNode/node.h"
+
+namespace kcm::node {
+
+/// Chooses relays for a gateway or scheduler: the one on its own VM, and the
+/// next one of the region each time the present one is silent.
+[[nodiscard]] auto PreferOwnRelay(const Node& node) -> LogFollower::Choose;
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibPlatform/http_worker_port.cc
@@ -0,0 +1,83 @@
+#include "LibPlatform/http_worker_port.h"
+
+#include <utility>
+
+namespace kcm::platform {
+
+namespace {
+
+constexpr core::Millis kWorkerTimeout = 1000;
+constexpr int kHttpOk = 200;
+
+auto OutcomeOf(const net::HttpResult& result) -> CommandOutcome {
+  switch (result.exchange) {
+    case net::Exchange::kNeverSent:
+      return CommandOutcome::kNeverSent;
+    case net::Exchange::kBroken:
+      return CommandOutcome::kUnknown;
+    case net::Exchange::kAnswered:
+      break;
+  }
+  return result.answer.status == kHttpOk ? CommandOutcome::kDone
+                                         : CommandOutcome::kRefused;
+}
+
+auto ToReports(const net::HttpResult& result) -> RenewResult {
+  if (result.exchange != net::Exchange::kAnswered ||
+      result.answer.status != kHttpOk) {
+    return std::nullopt;
+  }
+  const auto document = core::Json::parse(result.answer.body, nullptr, false);
+  if (!document.is_object() || !document.contains("leases")) {
+    return std::nullopt;
+  }
+  return document.at("leases").get<std::map<std::string, LeaseReport>>();
+}
+
+}  // namespace
+
+auto HttpWorkerPort::Post(const core::Address& worker,
+                          const std::string& path,
+                          const core::Json& body,
+                          net::HttpClient::Done done) -> void {
+  const net::HttpRequest request{
+      "POST", path, {}, {{"content-type", "application/json"}}, body.dump()};
+  http_.Send(worker, request, kWorkerTimeout, std::move(done));
+}
+
+auto HttpWorkerPort::Acquire(const core::Address& worker,
+                             const LeaseRequest& request,
+                             CommandDone done) -> void {
+  Post(worker, "/v1/leases", request,
+       [done = std::move(done)](const net::HttpResult& result) {
+         done(OutcomeOf(result));
+       });
+}
+
+auto HttpWorkerPort::Command(const core::Address& worker,
+                             const std::string& lease,
+                             std::int64_t term,
+                             LeaseCommand command,
+                             const core::Json& task,
+                             CommandDone done) -> void {
+  const auto path =
+      "/v1/leases/" + lease + "/" + std::string(core::NameOf(command));
+  Post(worker, path, {{"term", term}, {"task", task}},
+       [done = std::move(done)](const net::HttpResult& result) {
+         done(OutcomeOf(result));
+       });
+}
+
+auto HttpWorkerPort::Renew(const core::Address& worker,
+                           std::int64_t term,
+                           const std::vector<std::string>& leases,
+                           core::Millis ttl,
+                           RenewDone done) -> void {
+  Post(worker, "/v1/renew",
+       {{"term", term}, {"leases", leases}, {"ttl_ms", ttl}},
+       [done = std::move(done)](const net::HttpResult& result) {
+         done(ToReports(result));
+       });
+}
+
+}  // namespace kcm::platform
--- /dev/null
+++ b/Libraries/LibPlatform/log_client.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibCore/json.h"
+
+namespace kcm::platform {
+
+/// How an append ended, as far as the writer can know.
+enum class AppendOutcome : std::uint8_t {
+  kAppended,
+  /// The log says, or the connection proves, that nothing was appended.
+  kRefused,
+  /// The records may or may not stand in the log.
+  kUnknown,
+};
+
+/// How a read ended.
+enum class ReadOutcome : std::uint8_t {
+  kRead,
+  kUnreachable,
+  /// The records asked for are past their retention.
+  kExpired,
+};
+
+/// Records read from one stream.
+struct ReadResult {
+  ReadOutcome outcome = ReadOutcome::kUnreachable;
+  std::int64_t first_offset = 0;
+  std::vector<core::Json> records;
+  /// Oldest offset the log still keeps; set when the outcome is kExpired.
+  std::int64_t earliest_offset = 0;
+};
+
+/// The platform's append-only log; all that lasts goes through it.
+class LogClient {
+ public:
+  using AppendDone = std::function<void(AppendOutcome)>;
+  using ReadDone = std::function<void(ReadResult)>;
+
+  virtual ~LogClient() = default;
+
+  /// Appends records in order, all or none.
+  virtual auto Append(const std::string& stream,
+                      const std::vector<core::Json>& records,
+                      AppendDone done) -> void = 0;
+
+  /// Reads from an offset; may wait a while for the first new record.
+  virtual auto Read(const std::string& stream,
+                    std::int64_t from_offset,
+                    ReadDone done) -> void = 0;
+};
+
+}  // namespace kcm::platform
--- /dev/null
+++ b/Libraries/LibPlatform/worker_port.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/address.h"
+#include "LibCore/clock.h"
+#include "LibCore/json.h"
+#include "LibPlatform/lease_state.h"
+
+namespace kcm::platform {
+
+/// What a scheduler asks a worker to set aside.
+struct LeaseRequest {
+  std::string lease;
+  std::string job;
+  std::int64_t attempt = 0;
+  /// Fencing number; a worker refuses any command of a lower one.
+  std::int64_t term = 0;
+  std::vector<std::int64_t> accelerators;
+  std::int64_t cores = 0;
+  std::int64_t memory_mb = 0;
+  core::Millis ttl_ms = 0;
+};
+
+KCM_JSON(LeaseRequest,
+         lease,
+         job,
+         attempt,
+         term,
+         accelerators,
+         cores,
+         memory_mb,
+         ttl_ms)
+
+/// A command about a lease that a worker holds.
+enum class LeaseCommand : std::uint8_t {
+  kStart,
+  kThrottle,
+  kCheckpoint,
+  kStop,
+};
+
+/// How a command ended.
+enum class CommandOutcome : std::uint8_t {
+  kDone,
+  /// The worker answered that it did not do it.
+  kRefused,
+  /// The worker provably saw nothing.
+  kNeverSent,
+  /// The worker may have done it.
+  kUnknown,
+};
+
+/// State of one lease in a report.
+struct LeaseReport {
+  LeaseState state = LeaseState::kUnknown;
+  std::string checkpoint;
+};
+
+KCM_JSON(LeaseReport, state, checkpoint)
+
+/// Reports by lease id; nothing when the worker did not answer.
+using RenewResult = std::optional<std::map<std::string, LeaseReport>>;
+
+/// The workers' interface for leases and tasks.
+class WorkerPort {
+ public:
+  using CommandDone = std::function<void(CommandOutcome)>;
+  using RenewDone = std::function<void(RenewResult)>;
+
+  virtual ~WorkerPort() = default;
+
+  /// Sets capacity aside; nothing runs yet.
+  virtual auto Acquire(const core::Address& worker,
+                       const LeaseRequest& request,
+                       CommandDone done) -> void = 0;
+
+  /// Sends a command about one lease.
+  /// @param task parameters of the task; read by kStart only.
+  virtual auto Command(const core::Address& worker,
+                       const std::string& lease,
+                       std::int64_t term,
+                       LeaseCommand command,
+                       const core::Json& task,
+                       CommandDone done) -> void = 0;
+
+  /// Renews leases for `ttl` and reports their states.
+  virtual auto Renew(const core::Address& worker,
+                     std::int64_t term,
+                     const std::vector<std::string>& leases,
+                     core::Millis ttl,
+                     RenewDone done) -> void = 0;
+};
+
+}  // namespace kcm::platform
+
+template <>
+struct kcm::core::EnumNames<kcm::platform::LeaseCommand> {
+  using Enum = kcm::platform::LeaseCommand;
+  static constexpr std::array<EnumName<Enum>, 4> kRows = {{
+      {Enum::kStart, "start"},
+      {Enum::kThrottle, "throttle"},
+      {Enum::kCheckpoint, "checkpoint"},
+      {Enum::kStop, "stop"},
+  }};
+};
--- /dev/null
+++ b/Libraries/LibRequest/slot_share.cc
@@ -0,0 +1,28 @@
+#include "LibRequest/slot_share.h"
+
+#include <algorithm>
+
+#include "LibCore/stable_hash.h"
+
+namespace kcm::request {
+
+auto OwnedSlots(const std::string& minion,
+                std::int64_t slots,
+                const std::string& gateway,
+                const std::vector<std::string>& gateways) -> std::int64_t {
+  const auto found = std::find(gateways.begin(), gateways.end(), gateway);
+  if (found == gateways.end()) {
+    return 0;
+  }
+  const auto count = static_cast<std::int64_t>(gateways.size());
+  const auto position = found - gateways.begin();
+  const auto offset = static_cast<std::int64_t>(
+      core::StableHash(minion) % static_cast<std::uint64_t>(count));
+  std::int64_t owned = 0;
+  for (std::int64_t slot = 0; slot < slots; ++slot) {
+    owned += (slot + offset) % count == position ? 1 : 0;
+  }
+  return owned;
+}
+
+}  // namespace kcm::request
--- /dev/null
+++ b/Libraries/LibState/cell_fold.cc
@@ -0,0 +1,189 @@
+#include "LibState/cell_fold.h"
+
+#include <utility>
+
+namespace kcm::state {
+
+namespace {
+
+auto KeyOf(const std::string& account, const std::string& key) -> std::string {
+  return account + "/" + key;
+}
+
+}  // namespace
+
+auto CellFold::FindJob(const std::string& id) const -> const Job* {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto CellFold::FindKey(const std::string& account, const std::string& key) const
+    -> const Job* {
+  const auto found = keys_.find(KeyOf(account, key));
+  return found == keys_.end() ? nullptr : FindJob(found->second);
+}
+
+auto CellFold::Decide(const Record& record) -> Verdict {
+  switch (record.kind) {
+    case RecordKind::kTermClaimed:
+      return DecideTerm(record);
+    case RecordKind::kJobSubmitted:
+      return DecideSubmitted(record);
+    case RecordKind::kJobPlaced:
+      return DecidePlaced(record);
+    case RecordKind::kJobRequeued:
+      return DecideRequeued(record);
+    case RecordKind::kJobEnded:
+      return DecideEnded(record);
+    case RecordKind::kJobCancelled:
+      return DecideCancelled(record);
+    default:
+      return Verdict::Accept();
+  }
+}
+
+auto CellFold::DecideTerm(const Record& record) -> Verdict {
+  auto claimed = record.body.get<Term>();
+  if (claimed.number != term_.number + 1) {
+    return Verdict::Reject(core::ErrorKind::kConflict, "number",
+                           "The present term is " +
+                               std::to_string(term_.number) + ", held by " +
+                               term_.holder + ".");
+  }
+  term_ = std::move(claimed);
+  return Verdict::Accept();
+}
+
+auto CellFold::DecideSubmitted(const Record& record) -> Verdict {
+  auto spec = record.body.at("spec").get<JobSpec>();
+  const auto id = record.body.at("job").get<std::string>();
+  if (!spec.idempotency_key.empty()) {
+    const auto key = KeyOf(spec.account, spec.idempotency_key);
+    if (keys_.contains(key)) {
+      return Verdict::Reject(core::ErrorKind::kConflict, "idempotency_key",
+                             "The key belongs to " + keys_[key] + ".");
+    }
+    keys_[key] = id;
+  }
+  auto& job = jobs_[id];
+  job.id = id;
+  job.spec = std::move(spec);
+  Change(job, record, JobStatus::kAccepted);
+  return Verdict::Accept();
+}
+
+auto CellFold::FindCurrent(const Record& record, Verdict& verdict) -> Job* {
+  const auto term = record.body.at("term").get<std::int64_t>();
+  if (term != term_.number) {
+    verdict = Verdict::Reject(core::ErrorKind::kConflict, "term",
+                              "The record is of term " + std::to_string(term) +
+                                  ", the present term is " +
+                                  std::to_string(term_.number) + ".");
+    return nullptr;
+  }
+  const auto found = jobs_.find(record.body.at("job").get<std::string>());
+  if (found == jobs_.end() || IsEnded(found->second.status)) {
+    verdict = Verdict::Reject(core::ErrorKind::kConflict, "job",
+                              "The job is unknown or has ended.");
+    return nullptr;
+  }
+  const auto attempt = record.body.at("attempt").get<std::int64_t>();
+  const auto expected = record.kind == RecordKind::kJobPlaced
+                            ? found->second.attempt + 1
+                            : found->second.attempt;
+  if (attempt != expected) {
+    verdict = Verdict::Reject(
+        core::ErrorKind::kConflict, "attempt",
+        "The job's next attempt is " + std::to_string(expected) + ".");
+    return nullptr;
+  }
+  return &found->second;
+}
+
+auto CellFold::DecidePlaced(const Record& record) -> Verdict {
+  Verdict verdict;
+  auto* job = FindCurrent(record, verdict);
+  if (job == nullptr) {
+    return verdict;
+  }
+  if (job->status != JobStatus::kAccepted || job->cancel_requested) {
+    return Verdict::Reject(core::ErrorKind::kConflict, "status",
+                           "The job waits for no placement.");
+  }
+  job->attempt = record.body.at("attempt").get<std::int64_t>();
+  record.body.at("members").get_to(job->members);
+  Change(*job, record, JobStatus::kPlaced);
+  return verdict;
+}
+
+auto CellFold::DecideRequeued(const Record& record) -> Verdict {
+  Verdict verdict;
+  auto* job = FindCurrent(record, verdict);
+  if (job == nullptr) {
+    return verdict;
+  }
+  const auto checkpoint = record.body.value("checkpoint", "");
+  const bool started = record.body.value("started", true);
+  const bool may_continue =
+      !started || job->spec.recovery == Recovery::kRestartable ||
+      (job->spec.recovery == Recovery::kCheckpointable && !checkpoint.empty());
+  if (!may_continue) {
+    return Verdict::Reject(core::ErrorKind::kConflict, "recovery",
+                           "A started attempt without a checkpoint is never "
+                           "started afresh.");
+  }
+  if (!checkpoint.empty()) {
+    job->checkpoint = checkpoint;
+  }
+  job->members.clear();
+  Change(*job, record, JobStatus::kAccepted);
+  return verdict;
+}
+
+auto CellFold::DecideEnded(const Record& record) -> Verdict {
+  Verdict verdict;
+  auto* job = FindCurrent(record, verdict);
+  if (job == nullptr) {
+    return verdict;
+  }
+  const auto status = record.body.at("status").get<JobStatus>();
+  if (!IsEnded(status)) {
+    return Verdict::Reject(core::ErrorKind::kBadInput, "status",
+                           "The status is none of an ended job.");
+  }
+  Change(*job, record, status);
+  return verdict;
+}
+
+auto CellFold::DecideCancelled(const Record& record) -> Verdict {
+  const auto found = jobs_.find(record.body.at("job").get<std::string>());
+  if (found == jobs_.end() || IsEnded(found->second.status)) {
+    return Verdict::Reject(core::ErrorKind::kConflict, "job",
+                           "The job is unknown or has ended.");
+  }
+  auto& job = found->second;
+  job.cancel_requested = true;
+  if (job.status == JobStatus::kAccepted) {
+    Change(job, record, JobStatus::kCancelled);
+  }
+  return Verdict::Accept();
+}
+
+auto CellFold::Change(Job& job, const Record& record, JobStatus status)
+    -> void {
+  job.status = status;
+  job.reason = record.body.value("reason", "");
+  job.history.push_back({record.at, status, job.attempt, job.reason});
+}
+
+auto CellFold::StateToJson() const -> core::Json {
+  return {{"term", term_}, {"jobs", jobs_}, {"keys", keys_}};
+}
+
+auto CellFold::StateFromJson(const core::Json& document) -> void {
+  document.at("term").get_to(term_);
+  document.at("jobs").get_to(jobs_);
+  document.at("keys").get_to(keys_);
+}
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Libraries/LibState/job_status.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "LibCore/enum_names.h"
+
+namespace kcm::state {
+
+/// Where a job stands.
+enum class JobStatus : std::uint8_t {
+  kAccepted,
+  kPlaced,
+  kRunning,
+  kDone,
+  kFailed,
+  kCancelled,
+  kLost,
+};
+
+/// @return whether the job will never run again.
+[[nodiscard]] constexpr auto IsEnded(JobStatus status) -> bool {
+  return status >= JobStatus::kDone;
+}
+
+}  // namespace kcm::state
+
+template <>
+struct kcm::core::EnumNames<kcm::state::JobStatus> {
+  using Enum = kcm::state::JobStatus;
+  static constexpr std::array<EnumName<Enum>, 7> kRows = {{
+      {Enum::kAccepted, "accepted"},
+      {Enum::kPlaced, "placed"},
+      {Enum::kRunning, "running"},
+      {Enum::kDone, "done"},
+      {Enum::kFailed, "failed"},
+      {Enum::kCancelled, "cancelled"},
+      {Enum::kLost, "lost"},
+  }};
+};
--- /dev/null
+++ b/Libraries/LibState/record.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibCore/enum_names.h"
+#include "LibCore/json.h"
+
+namespace kcm::state {
+
+/// What a record of the log says. Records of a kind that this version does
+/// not know are kept and skipped.
+enum class RecordKind : std::uint8_t {
+  kUnknown,
+  kFleetRecorded,
+  kRowEdited,
+  kTermClaimed,
+  kJobSubmitted,
+  kJobPlaced,
+  kJobRequeued,
+  kJobEnded,
+  kJobCancelled,
+  kIntentRecorded,
+  kIntentResolved,
+  kSnapshot,
+};
+
+/// One record of a stream.
+struct Record {
+  /// Unique; a record appended twice takes effect once.
+  std::string id;
+  RecordKind kind = RecordKind::kUnknown;
+  std::int64_t format = 1;
+  /// The process or operator that wrote it.
+  std::string by;
+  /// Wall clock of the writer, for display.
+  core::Millis at = 0;
+  core::Json body = core::Json::object();
+};
+
+}  // namespace kcm::state
+
+template <>
+struct kcm::core::EnumNames<kcm::state::RecordKind> {
+  using Enum = kcm::state::RecordKind;
+  static constexpr std::array<EnumName<Enum>, 12> kRows = {{
+      {Enum::kUnknown, "unknown"},
+      {Enum::kFleetRecorded, "fleet_recorded"},
+      {Enum::kRowEdited, "row_edited"},
+      {Enum::kTermClaimed, "term_claimed"},
+      {Enum::kJobSubmitted, "job_submitted"},
+      {Enum::kJobPlaced, "job_placed"},
+      {Enum::kJobRequeued, "job_requeued"},
+      {Enum::kJobEnded, "job_ended"},
+      {Enum::kJobCancelled, "job_cancelled"},
+      {Enum::kIntentRecorded, "intent_recorded"},
+      {Enum::kIntentResolved, "intent_resolved"},
+      {Enum::kSnapshot, "snapshot"},
+  }};
+};
+
+namespace kcm::state {
+
+KCM_JSON(Record, id, kind, format, by, at, body)
+
+/// Makes a record with a fresh id and the present wall clock.
+[[nodiscard]] auto MakeRecord(RecordKind kind,
+                              const std::string& by,
+                              core::Json body) -> Record;
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Libraries/LibState/row.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/json.h"
+#include "LibCore/reason.h"
+#include "LibState/shape.h"
+
+namespace kcm::state {
+
+/// A shape that a client account can claim in one data centre at any time.
+struct Guarantee {
+  std::string data_centre;
+  /// How many gangs of this shape.
+  std::int64_t count = 1;
+  Shape shape;
+};
+
+KCM_JSON(Guarantee, data_centre, count, shape)
+
+/// One row of the operators' table: weights and limits of a client account.
+struct Row {
+  std::string account;
+  /// Grows by one at each accepted edit; zero means the row does not exist.
+  std::int64_t version = 0;
+  double weight = 1;
+  double rate_per_s = 1000;
+  std::int64_t concurrency = 256;
+  std::int64_t queue = 256;
+  std::int64_t accelerators = 64;
+  std::int64_t urgent_accelerators = 8;
+  bool may_borrow = true;
+  /// SHA-256 of the account's token, in hexadecimal.
+  std::string token_sha256;
+  std::vector<Guarantee> guarantees;
+};
+
+KCM_JSON(Row,
+         account,
+         version,
+         weight,
+         rate_per_s,
+         concurrency,
+         queue,
+         accelerators,
+         urgent_accelerators,
+         may_borrow,
+         token_sha256,
+         guarantees)
+
+/// Reads and checks a row from outside.
+/// @return the row, or nothing with `reason` naming the column, the value and
+///     what is allowed.
+[[nodiscard]] auto ReadRow(const core::Json& document, core::Reason& reason)
+    -> std::optional<Row>;
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Libraries/LibState/table_fold.cc
@@ -0,0 +1,93 @@
+#include "LibState/table_fold.h"
+
+#include <utility>
+
+#include "LibState/guarantee_check.h"
+
+namespace kcm::state {
+
+namespace {
+
+constexpr std::size_t kHistoryLength = 1000;
+
+}  // namespace
+
+auto TableFold::FindRow(const std::string& account) const -> const Row* {
+  const auto found = rows_.find(account);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+auto TableFold::FindToken(const std::string& sha256) const -> const Row* {
+  for (const auto& [account, row] : rows_) {
+    if (!row.token_sha256.empty() && row.token_sha256 == sha256) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+auto TableFold::Decide(const Record& record) -> Verdict {
+  switch (record.kind) {
+    case RecordKind::kRowEdited:
+      return DecideRow(record);
+    case RecordKind::kFleetRecorded:
+      return DecideFleet(record);
+    default:
+      return Verdict::Accept();
+  }
+}
+
+auto TableFold::DecideRow(const Record& record) -> Verdict {
+  auto row = record.body.get<Row>();
+  const auto* present = FindRow(row.account);
+  const auto version = present == nullptr ? 0 : present->version;
+  if (row.version != version) {
+    return Verdict::Reject(core::ErrorKind::kConflict, "version",
+                           "The row of " + row.account + " is at version " +
+                               std::to_string(version) +
+                               ", the edit presumes version " +
+                               std::to_string(row.version) + ".");
+  }
+  ++row.version;
+  auto edited = rows_;
+  edited[row.account] = row;
+  auto verdict = CheckGuarantees(edited, fleet_);
+  if (!verdict.accepted) {
+    return verdict;
+  }
+  rows_ = std::move(edited);
+  ++version_;
+  history_.push_back({version_, record.at, record.by, std::move(row)});
+  if (history_.size() > kHistoryLength) {
+    history_.pop_front();
+  }
+  return Verdict::Accept();
+}
+
+auto TableFold::DecideFleet(const Record& record) -> Verdict {
+  auto fleet = record.body.get<Fleet>();
+  if (fleet.version != fleet_.version) {
+    return Verdict::Reject(
+        core::ErrorKind::kConflict, "version",
+        "The fleet is at version " + std::to_string(fleet_.version) + ".");
+  }
+  ++fleet.version;
+  fleet_ = std::move(fleet);
+  return Verdict::Accept();
+}
+
+auto TableFold::StateToJson() const -> core::Json {
+  return {{"rows", rows_},
+          {"fleet", fleet_},
+          {"history", history_},
+          {"version", version_}};
+}
+
+auto TableFold::StateFromJson(const core::Json& document) -> void {
+  document.at("rows").get_to(rows_);
+  document.at("fleet").get_to(fleet_);
+  document.at("history").get_to(history_);
+  document.at("version").get_to(version_);
+}
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Libraries/LibState/table_fold.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "LibState/fleet.h"
+#include "LibState/fold.h"
+#include "LibState/row.h"
+
+namespace kcm::state {
+
+/// An accepted edit, for the table's history.
+struct RowChange {
+  std::int64_t table_version = 0;
+  core::Millis at = 0;
+  std::string by;
+  Row row;
+};
+
+KCM_JSON(RowChange, table_version, at, by, row)
+
+/// The operators' table and the fleet on record.
+class TableFold final : public Fold {
+ public:
+  /// @return rows by client account.
+  [[nodiscard]] auto rows() const -> const std::map<std::string, Row>& {
+    return rows_;
+  }
+  [[nodiscard]] auto fleet() const -> const Fleet& { return fleet_; }
+  /// @return latest accepted edits, oldest first.
+  [[nodiscard]] auto history() const -> const std::deque<RowChange>& {
+    return history_;
+  }
+  /// @return number of accepted edits since the table began.
+  [[nodiscard]] auto version() const -> std::int64_t { return version_; }
+
+  /// @return the row of an account, or null.
+  [[nodiscard]] auto FindRow(const std::string& account) const -> const Row*;
+
+  /// @return the row whose token has this digest, or null.
+  [[nodiscard]] auto FindToken(const std::string& sha256) const -> const Row*;
+
+ protected:
+  auto Decide(const Record& record) -> Verdict override;
+  [[nodiscard]] auto StateToJson() const -> core::Json override;
+  auto StateFromJson(const core::Json& document) -> void override;
+
+ private:
+  auto DecideRow(const Record& record) -> Verdict;
+  auto DecideFleet(const Record& record) -> Verdict;
+
+  std::map<std::string, Row> rows_;
+  Fleet fleet_;
+  std::deque<RowChange> history_;
+  std::int64_t version_ = 0;
+};
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Libraries/LibState/verdict.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "LibCore/reason.h"
+
+namespace kcm::state {
+
+/// What the fold decided about one record.
+struct Verdict {
+  bool accepted = true;
+  /// Why a record was rejected.
+  core::Reason reason;
+
+  [[nodiscard]] static auto Accept() -> Verdict { return {}; }
+  [[nodiscard]] static auto Reject(core::ErrorKind kind,
+                                   std::string field,
+                                   std::string message) -> Verdict {
+    return {false, {kind, std::move(field), std::move(message)}};
+  }
+};
+
+}  // namespace kcm::state
--- /dev/null
+++ b/Services/Gateway/caller.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "LibCore/reason.h"
+#include "LibNet/http_message.h"
+#include "LibState/table_fold.h"
+
+namespace kcm::gateway {
+
+/// Who sent a request, proved by its bearer token.
+struct Caller {
+  bool is_operator = false;
+  /// The client account; empty for operators.
+  std::string account;
+};
+
+/// Recognises the caller by the Authorization header.
+/// @return the caller, or nothing with `reason` of kind kBadToken.
+[[nodiscard]] auto Authenticate(const net::HttpRequest& request,
+                                const state::TableFold& table,
+                                const std::string& operator_token_sha256,
+                                core::Reason& reason) -> std::optional<Caller>;
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Gateway/gateway_service.cc
@@ -0,0 +1,176 @@
+#include "gateway_service.h"
+
+#include <array>
+#include <optional>
+#include <span>
+#include <utility>
+
+#include "LibNode/relay_choice.h"
+
+namespace kcm::gateway {
+
+namespace {
+
+constexpr core::Millis kDrainPoll = 20;
+constexpr int kHttpOk = 200;
+
+/// Who may make a call.
+enum class Access : std::uint8_t { kAnyone, kCaller, kOperator };
+
+/// Matches a path against a pattern whose "*" stands for one segment.
+/// @return the segments that stood for "*", or nothing without a match.
+auto Match(std::string_view pattern, std::string_view path)
+    -> std::optional<std::vector<std::string>> {
+  std::vector<std::string> parameters;
+  while (!pattern.empty() || !path.empty()) {
+    const auto pattern_end = pattern.find('/', 1);
+    const auto path_end = path.find('/', 1);
+    const auto wanted = pattern.substr(0, pattern_end);
+    const auto segment = path.substr(0, path_end);
+    if (wanted == "/*" && segment.size() > 1) {
+      parameters.emplace_back(segment.substr(1));
+    } else if (wanted != segment) {
+      return std::nullopt;
+    }
+    pattern = pattern_end == std::string_view::npos
+                  ? ""
+                  : pattern.substr(pattern_end);
+    path = path_end == std::string_view::npos ? "" : path.substr(path_end);
+  }
+  return parameters;
+}
+
+}  // namespace
+
+/// One call of the API.
+struct GatewayService::Route {
+  std::string_view method;
+  std::string_view pattern;
+  Access access;
+  auto(GatewayService::*handler)(const ApiCall&) -> void;
+};
+
+auto GatewayService::Routes() -> std::span<const Route> {
+  static constexpr std::array kRoutes = {
+      Route{"GET", "/v1/health", Access::kAnyone, &GatewayService::ShowHealth},
+      Route{"GET", "/v1/status", Access::kOperator,
+            &GatewayService::ShowStatus},
+      Route{"POST", "/v1/requests", Access::kCaller,
+            &GatewayService::SubmitRequest},
+      Route{"POST", "/v1/jobs", Access::kCaller, &GatewayService::SubmitJob},
+      Route{"GET", "/v1/jobs", Access::kCaller, &GatewayService::ListJobs},
+      Route{"GET", "/v1/jobs/*", Access::kCaller, &GatewayService::ShowJob},
+      Route{"POST", "/v1/jobs/*/cancel", Access::kCaller,
+            &GatewayService::CancelJob},
+      Route{"GET", "/v1/table", Access::kOperator, &GatewayService::ShowTable},
+      Route{"GET", "/v1/table-history", Access::kOperator,
+            &GatewayService::ShowHistory},
+      Route{"GET", "/v1/table/*", Access::kOperator, &GatewayService::ShowRow},
+      Route{"PUT", "/v1/table/*", Access::kOperator, &GatewayService::EditRow},
+      Route{"GET", "/v1/fleet", Access::kOperator, &GatewayService::ShowFleet},
+      Route{"PUT", "/v1/fleet", Access::kOperator,
+            &GatewayService::RecordFleet},
+  };
+  return kRoutes;
+}
+
+auto GatewayService::create(node::Node& node, core::Reason& reason)
+    -> std::unique_ptr<node::Service> {
+  auto service = std::make_unique<GatewayService>(node);
+  service->server_ = net::HttpServer::create(
+      node.loop(), node.settings().gateway_http,
+      [raw = service.get()](net::HttpRequest request, net::HttpReply reply) {
+        raw->OnRequest(std::move(request), std::move(reply));
+      },
+      reason);
+  return service->server_ == nullptr ? nullptr : std::move(service);
+}
+
+GatewayService::GatewayService(node::Node& node)
+    : node_(node),
+      heartbeats_(node.loop(),
+                  node.bus(),
+                  node.PeersOf(node::Role::kGateway, "")),
+      follower_(node.loop(),
+                node.bus(),
+                node.log(),
+                node::PreferOwnRelay(node)),
+      table_(node),
+      jobs_(node),
+      requests_(node) {}
+
+auto GatewayService::OnRequest(net::HttpRequest request, net::HttpReply reply)
+    -> void {
+  ApiCall call{std::move(request), std::move(reply), {}, {}};
+  const Route* found = nullptr;
+  for (const auto& route : Routes()) {
+    if (route.method != call.request.method) {
+      continue;
+    }
+    if (auto parameters = Match(route.pattern, call.request.path)) {
+      found = &route;
+      call.parameters = std::move(*parameters);
+      break;
+    }
+  }
+  if (found == nullptr) {
+    Refuse(call, core::ErrorKind::kNotFound, "path",
+           "There is no call " + call.request.method + " " + call.request.path +
+               ".");
+    return;
+  }
+  if (found->access != Access::kAnyone) {
+    core::Reason reason;
+    const auto caller =
+        Authenticate(call.request, node_.log().world().table(),
+                     node_.settings().operator_token_sha256, reason);
+    if (!caller) {
+      call.reply.SendError(reason);
+      return;
+    }
+    call.caller = *caller;
+    if (found->access == Access::kOperator && !caller->is_operator) {
+      Refuse(call, core::ErrorKind::kForbidden, "authorization",
+             "The call is for operators only.");
+      return;
+    }
+  }
+  (this->*found->handler)(call);
+}
+
+auto GatewayService::ShowHealth(const ApiCall& call) -> void {
+  call.reply.SendJson(kHttpOk, {{"node", node_.self()}, {"ready", !draining_}});
+}
+
+auto GatewayService::ShowStatus(const ApiCall& call) -> void {
+  core::Json streams = core::Json::object();
+  for (const auto& stream : node_.log().world().streams()) {
+    streams[stream] = node_.log().NextOffset(stream);
+  }
+  core::Json terms = core::Json::object();
+  for (const auto& data_centre : node_.DataCentresOf("")) {
+    terms[data_centre] = node_.log().world().FindCell(data_centre)->term();
+  }
+  call.reply.SendJson(kHttpOk,
+                      {{"node", node_.self()},
+                       {"relay", follower_.relay()},
+                       {"confirmed_ms_ago", follower_.ConfirmedAge()},
+                       {"table_version", node_.log().world().table().version()},
+                       {"next_offsets", streams},
+                       {"terms", terms},
+                       {"peers_alive", heartbeats_.Alive()},
+                       {"open_requests", requests_.open()}});
+}
+
+auto GatewayService::Drain(std::function<void()> done) -> void {
+  draining_ = true;
+  heartbeats_.SayLeaving();
+  server_->StopListening();
+  node_.loop().Every(kDrainPoll, [this, done = std::move(done)] {
+    if (server_->pending() == 0) {
+      done();
+    }
+  });
+}
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Gateway/job_api.cc
@@ -0,0 +1,136 @@
+#include "job_api.h"
+
+#include <utility>
+
+#include "LibCore/clock.h"
+#include "LibCore/identity.h"
+#include "LibSchedule/placement.h"
+
+namespace kcm::gateway {
+
+namespace {
+
+constexpr core::Millis kSubmitTimeout = 10000;
+constexpr int kHttpOk = 200;
+constexpr int kHttpAccepted = 202;
+
+auto IsVisibleTo(const Caller& caller, const state::Job& job) -> bool {
+  return caller.is_operator || caller.account == job.spec.account;
+}
+
+}  // namespace
+
+auto JobApi::Submit(const ApiCall& call) -> void {
+  if (call.caller.is_operator) {
+    Refuse(call, core::ErrorKind::kForbidden, "authorization",
+           "Operators submit no jobs; use a client account's token.");
+    return;
+  }
+  const auto document = core::Json::parse(call.request.body, nullptr, false);
+  core::Reason reason;
+  auto spec = state::ReadJobSpec(document, reason);
+  if (!spec) {
+    call.reply.SendError(reason);
+    return;
+  }
+  spec->account = call.caller.account;
+  const auto& world = node_.log().world();
+  if (world.FindCell(spec->data_centre) == nullptr) {
+    Refuse(call, core::ErrorKind::kBadInput, "data_centre",
+           "\"" + spec->data_centre + "\" is no data centre of this system." +
+               core::DidYouMean(spec->data_centre, node_.DataCentresOf("")));
+    return;
+  }
+  const schedule::FleetModel whole(world.table().fleet(), spec->data_centre);
+  if (!schedule::FindPlacement(whole, spec->shape)) {
+    Refuse(call, core::ErrorKind::kNeverFits, "shape",
+           "The gang finds no room in " + spec->data_centre +
+               " even when all its workers are free.");
+    return;
+  }
+  const auto id = core::MakeId("job");
+  auto record = state::MakeRecord(state::RecordKind::kJobSubmitted,
+                                  node_.self(), {{"job", id}, {"spec", *spec}});
+  node_.writer().Append(
+      state::JobStreamOf(spec->data_centre), std::move(record),
+      core::MonotonicNow() + kSubmitTimeout,
+      [this, call, spec = *spec, id](const state::Verdict& verdict) {
+        OnSubmitted(call, spec, id, verdict);
+      });
+}
+
+auto JobApi::OnSubmitted(const ApiCall& call,
+                         const state::JobSpec& spec,
+                         const std::string& id,
+                         const state::Verdict& verdict) -> void {
+  if (verdict.accepted) {
+    call.reply.SendJson(kHttpAccepted, {{"job", id}});
+    return;
+  }
+  const auto* cell = node_.log().world().FindCell(spec.data_centre);
+  const auto* earlier = cell->FindKey(spec.account, spec.idempotency_key);
+  if (verdict.reason.kind == core::ErrorKind::kConflict && earlier != nullptr) {
+    call.reply.SendJson(kHttpAccepted,
+                        {{"job", earlier->id}, {"repeated", true}});
+    return;
+  }
+  call.reply.SendError(verdict.reason);
+}
+
+auto JobApi::List(const ApiCall& call) -> void {
+  core::Json jobs = core::Json::array();
+  for (const auto& data_centre : node_.DataCentresOf("")) {
+    const auto* cell = node_.log().world().FindCell(data_centre);
+    for (const auto& [id, job] : cell->jobs()) {
+      if (IsVisibleTo(call.caller, job)) {
+        jobs.push_back({{"id", id},
+                        {"account", job.spec.account},
+                        {"data_centre", data_centre},
+                        {"status", job.status},
+                        {"reason", job.reason}});
+      }
+    }
+  }
+  call.reply.SendJson(kHttpOk, {{"jobs", jobs}});
+}
+
+auto JobApi::FindVisible(const ApiCall& call) -> const state::Job* {
+  const auto& id = call.parameters.front();
+  for (const auto& data_centre : node_.DataCentresOf("")) {
+    const auto* job = node_.log().world().FindCell(data_centre)->FindJob(id);
+    if (job != nullptr && IsVisibleTo(call.caller, *job)) {
+      return job;
+    }
+  }
+  Refuse(call, core::ErrorKind::kNotFound, "job",
+         "There is no job \"" + id + "\" of this account.");
+  return nullptr;
+}
+
+auto JobApi::Show(const ApiCall& call) -> void {
+  if (const auto* job = FindVisible(call)) {
+    call.reply.SendJson(kHttpOk, *job);
+  }
+}
+
+auto JobApi::Cancel(const ApiCall& call) -> void {
+  const auto* job = FindVisible(call);
+  if (job == nullptr) {
+    return;
+  }
+  auto record =
+      state::MakeRecord(state::RecordKind::kJobCancelled, node_.self(),
+                        {{"job", job->id}, {"reason", "cancelled by caller"}});
+  node_.writer().Append(
+      state::JobStreamOf(job->spec.data_centre), std::move(record),
+      core::MonotonicNow() + kSubmitTimeout,
+      [call](const state::Verdict& verdict) {
+        if (verdict.accepted) {
+          call.reply.SendJson(kHttpAccepted, {{"cancelled", true}});
+          return;
+        }
+        call.reply.SendError(verdict.reason);
+      });
+}
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Gateway/job_api.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include "LibNode/node.h"
+#include "api_call.h"
+
+namespace kcm::gateway {
+
+/// The client accounts' calls on their jobs.
+class JobApi {
+ public:
+  explicit JobApi(node::Node& node) : node_(node) {}
+
+  auto Submit(const ApiCall& call) -> void;
+  auto List(const ApiCall& call) -> void;
+  auto Show(const ApiCall& call) -> void;
+  auto Cancel(const ApiCall& call) -> void;
+
+ private:
+  /// Finds a job that the caller may see, or answers that there is none.
+  auto FindVisible(const ApiCall& call) -> const state::Job*;
+  auto OnSubmitted(const ApiCall& call,
+                   const state::JobSpec& spec,
+                   const std::string& id,
+                   const state::Verdict& verdict) -> void;
+
+  node::Node& node_;
+};
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Gateway/table_api.cc
@@ -0,0 +1,124 @@
+#include "table_api.h"
+
+#include <utility>
+
+#include "LibCore/clock.h"
+#include "LibCore/event.h"
+
+namespace kcm::gateway {
+
+namespace {
+
+constexpr core::Millis kEditTimeout = 10000;
+constexpr int kHttpOk = 200;
+
+/// Tokens are shown to nobody, their digests neither.
+auto ToPublicJson(const state::Row& row) -> core::Json {
+  core::Json document = row;
+  document.erase("token_sha256");
+  document["has_token"] = !row.token_sha256.empty();
+  return document;
+}
+
+}  // namespace
+
+auto TableApi::ShowTable(const ApiCall& call) -> void {
+  const auto& table = node_.log().world().table();
+  core::Json rows = core::Json::array();
+  for (const auto& [account, row] : table.rows()) {
+    rows.push_back(ToPublicJson(row));
+  }
+  call.reply.SendJson(kHttpOk, {{"version", table.version()}, {"rows", rows}});
+}
+
+auto TableApi::ShowRow(const ApiCall& call) -> void {
+  const auto& account = call.parameters.front();
+  const auto* row = node_.log().world().table().FindRow(account);
+  if (row == nullptr) {
+    Refuse(call, core::ErrorKind::kNotFound, "account",
+           "The table has no row for \"" + account + "\".");
+    return;
+  }
+  call.reply.SendJson(kHttpOk, ToPublicJson(*row));
+}
+
+auto TableApi::EditRow(const ApiCall& call) -> void {
+  auto document = core::Json::parse(call.request.body, nullptr, false);
+  if (!document.is_object()) {
+    Refuse(call, core::ErrorKind::kBadInput, "body",
+           "The body is no JSON object.");
+    return;
+  }
+  const auto& account = call.parameters.front();
+  document["account"] = account;
+  document.erase("has_token");
+  core::Reason reason;
+  auto row = state::ReadRow(document, reason);
+  if (!row) {
+    call.reply.SendError(reason);
+    return;
+  }
+  const auto* present = node_.log().world().table().FindRow(account);
+  if (present != nullptr && row->token_sha256.empty()) {
+    row->token_sha256 = present->token_sha256;
+  }
+  auto record =
+      state::MakeRecord(state::RecordKind::kRowEdited, "operator", *row);
+  node_.writer().Append(
+      std::string(state::kTableStream), std::move(record),
+      core::MonotonicNow() + kEditTimeout,
+      [this, call, account](const state::Verdict& verdict) {
+        const auto* decided = node_.log().world().table().FindRow(account);
+        if (verdict.accepted) {
+          core::LogEvent(core::Event::kRowEdited,
+                         {{"account", account}, {"version", decided->version}});
+          call.reply.SendJson(kHttpOk, ToPublicJson(*decided));
+          return;
+        }
+        auto body = core::ToErrorBody(verdict.reason);
+        if (decided != nullptr) {
+          body["row"] = ToPublicJson(*decided);
+        }
+        call.reply.SendJson(core::AnswerOf(verdict.reason.kind).http_status,
+                            body);
+      });
+}
+
+auto TableApi::ShowHistory(const ApiCall& call) -> void {
+  core::Json changes = core::Json::array();
+  for (const auto& change : node_.log().world().table().history()) {
+    changes.push_back({{"table_version", change.table_version},
+                       {"at_ms", change.at},
+                       {"by", change.by},
+                       {"row", ToPublicJson(change.row)}});
+  }
+  call.reply.SendJson(kHttpOk, {{"history", changes}});
+}
+
+auto TableApi::ShowFleet(const ApiCall& call) -> void {
+  call.reply.SendJson(kHttpOk, node_.log().world().table().fleet());
+}
+
+auto TableApi::RecordFleet(const ApiCall& call) -> void {
+  const auto document = core::Json::parse(call.request.body, nullptr, false);
+  state::Fleet fleet;
+  try {
+    fleet = document.get<state::Fleet>();
+  } catch (const core::Json::exception& error) {
+    Refuse(call, core::ErrorKind::kBadInput, "body", error.what());
+    return;
+  }
+  node_.writer().Append(
+      std::string(state::kTableStream),
+      state::MakeRecord(state::RecordKind::kFleetRecorded, "operator", fleet),
+      core::MonotonicNow() + kEditTimeout,
+      [this, call](const state::Verdict& verdict) {
+        if (!verdict.accepted) {
+          call.reply.SendError(verdict.reason);
+          return;
+        }
+        ShowFleet(call);
+      });
+}
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Gateway/table_api.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibNode/node.h"
+#include "api_call.h"
+
+namespace kcm::gateway {
+
+/// The operators' calls on the table and the fleet on record.
+class TableApi {
+ public:
+  explicit TableApi(node::Node& node) : node_(node) {}
+
+  auto ShowTable(const ApiCall& call) -> void;
+  auto ShowRow(const ApiCall& call) -> void;
+  auto EditRow(const ApiCall& call) -> void;
+  auto ShowHistory(const ApiCall& call) -> void;
+  auto ShowFleet(const ApiCall& call) -> void;
+  auto RecordFleet(const ApiCall& call) -> void;
+
+ private:
+  node::Node& node_;
+};
+
+}  // namespace kcm::gateway
--- /dev/null
+++ b/Services/Relay/log_buffer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "LibCore/json.h"
+
+namespace kcm::relay {
+
+/// The latest records of one stream, for followers that are a little behind.
+class LogBuffer {
+ public:
+  /// Keeps one more record; the oldest leaves when the buffer is full.
+  auto Add(std::int64_t offset, core::Json record) -> void;
+
+  /// Forgets everything; the next record may have any offset.
+  auto Clear() -> void;
+
+  /// @return up to `limit` records from `offset` on, or nothing when some of
+  ///     them were dropped.
+  [[nodiscard]] auto From(std::int64_t offset, std::size_t limit) const
+      -> std::optional<std::vector<core::Json>>;
+
+ private:
+  std::int64_t first_offset_ = 0;
+  std::deque<core::Json> records_;
+};
+
+}  // namespace kcm::relay
--- /dev/null
+++ b/Services/Scheduler/scheduler_service.cc
@@ -0,0 +1,44 @@
+#include "scheduler_service.h"
+
+#include <utility>
+
+#include "LibNode/relay_choice.h"
+
+namespace kcm::scheduler {
+
+namespace {
+
+constexpr core::Millis kPartingDelay = 100;
+
+}  // namespace
+
+auto SchedulerService::create(node::Node& node, core::Reason& /*reason*/)
+    -> std::unique_ptr<node::Service> {
+  return std::make_unique<SchedulerService>(node);
+}
+
+SchedulerService::SchedulerService(node::Node& node)
+    : node_(node),
+      heartbeats_(node.loop(),
+                  node.bus(),
+                  node.PeersOf(node::Role::kScheduler, node.settings().region)),
+      follower_(node.loop(),
+                node.bus(),
+                node.log(),
+                node::PreferOwnRelay(node)),
+      workers_(node) {
+  for (const auto& data_centre : node.DataCentresOf(node.settings().region)) {
+    cells_[data_centre] =
+        std::make_unique<CellTask>(node, heartbeats_, workers_, data_centre);
+  }
+}
+
+auto SchedulerService::Drain(std::function<void()> done) -> void {
+  for (auto& [data_centre, cell] : cells_) {
+    cell->Resign();
+  }
+  heartbeats_.SayLeaving();
+  node_.loop().After(kPartingDelay, std::move(done));
+}
+
+}  // namespace kcm::scheduler
--- /dev/null
+++ b/Tests/LibState/table_fold_test.cc
@@ -0,0 +1,62 @@
+#include "LibState/table_fold.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace kcm::state {
+namespace {
+
+auto EditOf(const std::string& account, std::int64_t version, double weight)
+    -> Record {
+  Row row;
+  row.account = account;
+  row.version = version;
+  row.weight = weight;
+  return MakeRecord(RecordKind::kRowEdited, "operator", row);
+}
+
+struct EditCase {
+  const char* name;
+  std::int64_t presumed_version;
+  bool accepted;
+};
+
+class TableFoldEdit : public testing::TestWithParam<EditCase> {};
+
+TEST_P(TableFoldEdit, IsAcceptedOnlyAtThePresentVersion) {
+  TableFold fold;
+  ASSERT_TRUE(fold.Apply(0, EditOf("council", 0, 1)).accepted);
+  ASSERT_TRUE(fold.Apply(1, EditOf("council", 1, 2)).accepted);
+  const auto verdict =
+      fold.Apply(2, EditOf("council", GetParam().presumed_version, 3));
+  EXPECT_EQ(verdict.accepted, GetParam().accepted);
+  EXPECT_EQ(fold.FindRow("council")->weight, GetParam().accepted ? 3 : 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Versions,
+                         TableFoldEdit,
+                         testing::Values(EditCase{"older", 1, false},
+                                         EditCase{"present", 2, true},
+                                         EditCase{"future", 3, false}),
+                         [](const auto& info) { return info.param.name; });
+
+TEST(TableFold, TakesARecordAppendedTwiceOnce) {
+  TableFold fold;
+  const auto record = EditOf("council", 0, 1);
+  EXPECT_TRUE(fold.Apply(0, record).accepted);
+  EXPECT_FALSE(fold.Apply(1, record).accepted);
+  EXPECT_EQ(fold.version(), 1);
+}
+
+TEST(TableFold, SnapshotGivesTheSameDigest) {
+  TableFold fold;
+  ASSERT_TRUE(fold.Apply(0, EditOf("council", 0, 1)).accepted);
+  TableFold copy;
+  EXPECT_TRUE(copy.LoadSnapshot(fold.ToSnapshot()));
+  EXPECT_EQ(copy.Digest(), fold.Digest());
+  EXPECT_EQ(copy.next_offset(), 1);
+}
+
+}  // namespace
+}  // namespace kcm::state
--- /dev/null
+++ b/Tests/StandIns/Minion/minion.cc
@@ -0,0 +1,94 @@
+#include "minion.h"
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include "../Common/run_standin.h"
+
+namespace kcm::standin {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpError = 500;
+constexpr int kHttpUnavailable = 503;
+
+}  // namespace
+
+Minion::Minion(net::EventLoop& loop,
+               std::string id,
+               int slots,
+               core::Millis work_ms,
+               std::string journal)
+    : loop_(loop),
+      id_(std::move(id)),
+      slots_(slots),
+      work_ms_(work_ms),
+      journal_(std::move(journal)) {}
+
+auto Minion::Serve(const net::HttpRequest& request, const net::HttpReply& reply)
+    -> void {
+  if (request.path == "/v1/work") {
+    Work(request, reply);
+    return;
+  }
+  if (request.path == "/control") {
+    const auto body = BodyOf(request);
+    faults_.leaving = body.value("leaving", faults_.leaving);
+    faults_.failing = body.value("failing", faults_.failing);
+    faults_.slow_ms = body.value("slow_ms", faults_.slow_ms);
+    faults_.crossed = body.value("crossed", faults_.crossed);
+    reply.SendJson(kHttpOk, {{"runs", runs_},
+                             {"busy", busy_},
+                             {"peak", peak_},
+                             {"refusals", refusals_}});
+    return;
+  }
+  reply.SendJson(kHttpNotFound, core::Json::object());
+}
+
+auto Minion::Work(const net::HttpRequest& request, const net::HttpReply& reply)
+    -> void {
+  if (faults_.leaving || busy_ >= slots_) {
+    ++refusals_;
+    reply.Send({kHttpUnavailable,
+                {{"x-request-id", request.header("x-request-id")},
+                 {"x-refused", faults_.leaving ? "leaving" : "full"},
+                 {"x-leaving", faults_.leaving ? "true" : "false"}},
+                "refused"});
+    return;
+  }
+  ++busy_;
+  ++runs_;
+  peak_ = std::max(peak_, busy_);
+  if (!journal_.empty()) {
+    std::ofstream file(journal_, std::ios::app);
+    file << core::Json{{"minion", id_},
+                       {"account", request.header("x-account")},
+                       {"key", request.header("idempotency-key")},
+                       {"body", request.body}}
+                .dump()
+         << "\n";
+  }
+  loop_.After(work_ms_ + faults_.slow_ms,
+              [this, request, reply] { Finish(request, reply); });
+}
+
+auto Minion::Finish(const net::HttpRequest& request,
+                    const net::HttpReply& reply) -> void {
+  --busy_;
+  auto request_id = request.header("x-request-id");
+  if (faults_.crossed) {
+    request_id = std::exchange(last_request_id_, request_id);
+  }
+  reply.Send({faults_.failing ? kHttpError : kHttpOk,
+              {{"x-request-id", request_id},
+               {"content-type", "text/plain"},
+               {"x-leaving", faults_.leaving ? "true" : "false"}},
+              "done by " + id_ + " for " + request.header("x-account") + ": " +
+                  request.body});
+}
+
+}  // namespace kcm::standin
--- /dev/null
+++ b/Tests/StandIns/Platform/log_service.cc
@@ -0,0 +1,162 @@
+#include "log_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "../Common/run_standin.h"
+
+namespace kcm::standin {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpGone = 410;
+constexpr int kHttpTooMany = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr std::string_view kPrefix = "/v1/streams/";
+constexpr std::string_view kSuffix = "/records";
+
+}  // namespace
+
+auto LogService::Serve(const net::HttpRequest& request,
+                       const net::HttpReply& reply) -> void {
+  if (faults_.down) {
+    reply.SendJson(kHttpUnavailable, {{"error", "down"}});
+    return;
+  }
+  const auto name = request.path.substr(
+      kPrefix.size(), request.path.size() - kPrefix.size() - kSuffix.size());
+  const auto work = [this, name, request, reply] {
+    if (request.method == "POST") {
+      Append(streams_[name], request, reply);
+    } else {
+      Read(name, request, reply);
+    }
+  };
+  if (faults_.delay_ms > 0) {
+    loop_.After(faults_.delay_ms, work);
+  } else {
+    work();
+  }
+}
+
+auto LogService::OverRate() -> bool {
+  constexpr core::Millis kWindow = 1000;
+  const auto now = core::MonotonicNow();
+  if (now - window_start_ >= kWindow) {
+    window_start_ = now;
+    window_appends_ = 0;
+  }
+  return faults_.appends_per_s > 0 && ++window_appends_ > faults_.appends_per_s;
+}
+
+auto LogService::Append(Stream& stream,
+                        const net::HttpRequest& request,
+                        const net::HttpReply& reply) -> void {
+  if (OverRate()) {
+    reply.SendJson(kHttpTooMany, {{"error", "append rate"}});
+    return;
+  }
+  const auto body = BodyOf(request);
+  const auto first =
+      stream.first_offset + static_cast<std::int64_t>(stream.records.size());
+  for (const auto& record : body.value("records", core::Json::array())) {
+    stream.records.push_back(record);
+  }
+  ++stream.appends;
+  while (faults_.retention > 0 && stream.records.size() > faults_.retention) {
+    stream.records.pop_front();
+    ++stream.first_offset;
+  }
+  Wake(stream);
+  if (faults_.lose_answers > 0) {
+    --faults_.lose_answers;
+    // The reply is dropped: the writer sees a timeout, the record stands.
+    constexpr core::Millis kHold = 60000;
+    loop_.After(kHold, [reply] { reply.SendJson(kHttpUnavailable, {}); });
+    return;
+  }
+  reply.SendJson(kHttpOk, {{"first_offset", first}});
+}
+
+auto LogService::AnswerRead(const Stream& stream,
+                            std::int64_t from,
+                            std::size_t limit,
+                            const net::HttpReply& reply) const -> void {
+  if (from < stream.first_offset) {
+    reply.SendJson(kHttpGone, {{"earliest_offset", stream.first_offset}});
+    return;
+  }
+  core::Json records = core::Json::array();
+  const auto skip = static_cast<std::size_t>(from - stream.first_offset);
+  for (auto i = skip; i < std::min(stream.records.size(), skip + limit); ++i) {
+    records.push_back(stream.records[i]);
+  }
+  reply.SendJson(kHttpOk, {{"first_offset", from}, {"records", records}});
+}
+
+auto LogService::Read(const std::string& name,
+                      const net::HttpRequest& request,
+                      const net::HttpReply& reply) -> void {
+  auto& stream = streams_[name];
+  ++stream.reads;
+  const auto from = std::stoll(request.argument("from", "0"));
+  const auto limit =
+      static_cast<std::size_t>(std::stoul(request.argument("limit", "100")));
+  const core::Millis wait = std::stoll(request.argument("wait_ms", "0"));
+  const auto end =
+      stream.first_offset + static_cast<std::int64_t>(stream.records.size());
+  if (from < end || wait <= 0) {
+    AnswerRead(stream, from, limit, reply);
+    return;
+  }
+  const auto id = next_waiter_++;
+  stream.waiters.push_back({from, limit, reply, id});
+  loop_.After(wait, [this, name, id] {
+    auto& waiters = streams_[name].waiters;
+    const auto found =
+        std::find_if(waiters.begin(), waiters.end(),
+                     [id](const Waiter& waiter) { return waiter.id == id; });
+    if (found != waiters.end()) {
+      const auto waiter = *found;
+      waiters.erase(found);
+      AnswerRead(streams_[name], waiter.from, waiter.limit, waiter.reply);
+    }
+  });
+}
+
+auto LogService::Wake(Stream& stream) -> void {
+  for (const auto& waiter : std::exchange(stream.waiters, {})) {
+    AnswerRead(stream, waiter.from, waiter.limit, waiter.reply);
+  }
+}
+
+auto LogService::Control(const core::Json& settings) -> void {
+  faults_.down = settings.value("down", faults_.down);
+  faults_.lose_answers = settings.value("lose_answers", faults_.lose_answers);
+  faults_.delay_ms = settings.value("delay_ms", faults_.delay_ms);
+  faults_.retention = settings.value("retention", faults_.retention);
+  faults_.appends_per_s =
+      settings.value("appends_per_s", faults_.appends_per_s);
+  if (faults_.down) {
+    for (auto& [name, stream] : streams_) {
+      for (const auto& waiter : std::exchange(stream.waiters, {})) {
+        waiter.reply.SendJson(kHttpUnavailable, {{"error", "down"}});
+      }
+    }
+  }
+}
+
+auto LogService::Counters() const -> core::Json {
+  core::Json counters = core::Json::object();
+  for (const auto& [name, stream] : streams_) {
+    counters[name] = {
+        {"appends", stream.appends},
+        {"reads", stream.reads},
+        {"end", stream.first_offset +
+                    static_cast<std::int64_t>(stream.records.size())}};
+  }
+  return counters;
+}
+
+}  // namespace kcm::standin
--- /dev/null
+++ b/Tests/StandIns/Platform/main.cc
@@ -0,0 +1,69 @@
+#include <fstream>
+
+#include "../Common/run_standin.h"
+#include "log_service.h"
+#include "vm_service.h"
+
+namespace kcm::standin {
+
+namespace {
+
+auto Serve(LogService& log,
+           VmService& vms,
+           const net::HttpRequest& request,
+           const net::HttpReply& reply) -> void {
+  constexpr int kHttpOk = 200;
+  constexpr int kHttpNotFound = 404;
+  const auto& path = request.path;
+  if (path.starts_with("/v1/streams/")) {
+    log.Serve(request, reply);
+  } else if (path == "/v1/vms") {
+    vms.Serve(request, reply);
+  } else if (path == "/control/log") {
+    log.Control(BodyOf(request));
+    reply.SendJson(kHttpOk, log.Counters());
+  } else if (path == "/control/vms") {
+    const auto body = BodyOf(request);
+    if (body.contains("lag_ms")) {
+      vms.SetLag(body.at("lag_ms").get<core::Millis>());
+    }
+    if (body.contains("vms")) {
+      vms.Set(body.at("vms"));
+    }
+    if (body.contains("id")) {
+      vms.Change(body.at("id").get<std::string>(), body.at("change"));
+    }
+    reply.SendJson(kHttpOk, core::Json::object());
+  } else {
+    reply.SendJson(kHttpNotFound, core::Json::object());
+  }
+}
+
+}  // namespace
+
+}  // namespace kcm::standin
+
+auto main(int argc, char** argv) -> int {
+  namespace net = kcm::net;
+  namespace standin = kcm::standin;
+  cxxopts::Options options("standin-platform",
+                           "Log service and VM list for tests.");
+  options.add_options()(
+      "listen", "IP:PORT",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:7000"))(
+      "vms", "JSON file with the list of VMs",
+      cxxopts::value<std::string>()->default_value(""));
+  const auto parsed = standin::ParseOptions(options, argc, argv);
+  net::EventLoop loop;
+  standin::LogService log(loop);
+  standin::VmService vms;
+  if (const auto path = parsed["vms"].as<std::string>(); !path.empty()) {
+    std::ifstream file(path);
+    vms.Set(kcm::core::Json::parse(file).at("vms"));
+  }
+  return standin::ServeUntilStopped(
+      loop, parsed["listen"].as<std::string>(),
+      [&](const net::HttpRequest& request, const net::HttpReply& reply) {
+        standin::Serve(log, vms, request, reply);
+      });
+}
--- /dev/null
+++ b/Tests/StandIns/Platform/vm_service.cc
@@ -0,0 +1,41 @@
+#include "vm_service.h"
+
+namespace kcm::standin {
+
+auto VmService::Set(core::Json vms) -> void {
+  // The first list is seen at once: nothing existed before it.
+  const auto at = versions_.empty() ? 0 : core::MonotonicNow();
+  versions_.emplace_back(at, std::move(vms));
+}
+
+auto VmService::Change(const std::string& id, const core::Json& members)
+    -> void {
+  auto vms = versions_.empty() ? core::Json::array() : versions_.back().second;
+  for (auto& vm : vms) {
+    if (vm.value("id", "") == id) {
+      vm.update(members);
+    }
+  }
+  Set(std::move(vms));
+}
+
+auto VmService::Serve(const net::HttpRequest& request,
+                      const net::HttpReply& reply) -> void {
+  constexpr int kHttpOk = 200;
+  const auto horizon = core::MonotonicNow() - lag_;
+  while (versions_.size() > 1 && versions_[1].first <= horizon) {
+    versions_.pop_front();
+  }
+  core::Json vms = core::Json::array();
+  const auto role = request.argument("role", "");
+  if (!versions_.empty() && versions_.front().first <= horizon) {
+    for (const auto& vm : versions_.front().second) {
+      if (role.empty() || vm.value("role", "") == role) {
+        vms.push_back(vm);
+      }
+    }
+  }
+  reply.SendJson(kHttpOk, {{"vms", vms}});
+}
+
+}  // namespace kcm::standin
--- /dev/null
+++ b/Utilities/kcm/api_client.cc
@@ -0,0 +1,47 @@
+#include "api_client.h"
+
+#include <utility>
+
+namespace kcm::cli {
+
+namespace {
+
+constexpr core::Millis kCallTimeout = 60000;
+
+}  // namespace
+
+auto ApiClient::Call(net::HttpRequest request, core::Reason& reason)
+    -> std::optional<net::HttpAnswer> {
+  if (!token_.empty()) {
+    request.headers["authorization"] = "Bearer " + token_;
+  }
+  request.headers.try_emplace("content-type", "application/json");
+  net::HttpResult result;
+  http_.Send(gateway_, request, kCallTimeout,
+             [this, &result](net::HttpResult ended) {
+               result = std::move(ended);
+               loop_.Stop();
+             });
+  loop_.Run();
+  switch (result.exchange) {
+    case net::Exchange::kAnswered:
+      return std::move(result.answer);
+    case net::Exchange::kNeverSent:
+      return reason.Fail(core::ErrorKind::kNoEndpoint, "gateway",
+                         "No gateway answers at " + gateway_.ToString() +
+                             "; the call was not made.");
+    case net::Exchange::kBroken:
+      break;
+  }
+  return reason.Fail(core::ErrorKind::kOutcomeUnknown, "gateway",
+                     "The connection to " + gateway_.ToString() +
+                         " broke before the answer; the call may have taken "
+                         "effect.");
+}
+
+auto ApiClient::Pause(core::Millis span) -> void {
+  loop_.After(span, [this] { loop_.Stop(); });
+  loop_.Run();
+}
+
+}  // namespace kcm::cli
--- /dev/null
+++ b/Utilities/kcm/command.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "api_client.h"
+
+namespace kcm::cli {
+
+/// Exit codes of kcm; docs/OPERATIONS.md lists them.
+enum class ExitCode : int {
+  kDone = 0,
+  kNotRun = 1,
+  kUsage = 2,
+  kFailed = 3,
+  kUnknown = 4,
+};
+
+/// What a command works with.
+struct Invocation {
+  ApiClient& client;
+  bool as_json = false;
+  std::vector<std::string> arguments;
+};
+
+/// One command such as "job submit".
+struct Command {
+  std::string_view group;
+  std::string_view verb;
+  std::string_view arguments;
+  std::string_view description;
+  auto(*run)(Invocation&) -> ExitCode;
+};
+
+/// @return all commands.
+auto Commands() -> std::span<const Command>;
+
+}  // namespace kcm::cli
--- /dev/null
+++ b/Utilities/kcm/commands.cc
@@ -0,0 +1,244 @@
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+
+#include "LibCore/json.h"
+#include "LibCore/reason.h"
+#include "LibState/job_status.h"
+#include "command.h"
+#include "render.h"
+
+namespace kcm::cli {
+
+namespace {
+
+constexpr int kHttpErrorFrom = 400;
+constexpr core::Millis kWaitPause = 200;
+
+/// Reads a file, or standard input for "-".
+auto ReadInput(const std::string& path) -> std::optional<std::string> {
+  if (path == "-") {
+    return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  }
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "kcm: cannot read " << path << ".\n";
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+auto ExitCodeOf(core::Conclusion conclusion) -> ExitCode {
+  constexpr std::array kCodes = {ExitCode::kDone, ExitCode::kNotRun,
+                                 ExitCode::kFailed, ExitCode::kUnknown};
+  return kCodes[static_cast<std::size_t>(conclusion)];
+}
+
+auto ReportError(const core::Reason& reason) -> ExitCode {
+  const auto& answer = core::AnswerOf(reason.kind);
+  std::cerr << "kcm: " << answer.name << " (" << core::NameOf(answer.conclusion)
+            << "): " << reason.message << "\n";
+  return ExitCodeOf(answer.conclusion);
+}
+
+/// Makes a call whose answer is a document.
+/// @return the document, or nothing after the error was reported.
+auto CallJson(Invocation& invocation,
+              net::HttpRequest request,
+              ExitCode& exit_code) -> std::optional<core::Json> {
+  core::Reason reason;
+  const auto answer = invocation.client.Call(std::move(request), reason);
+  if (!answer) {
+    exit_code = ReportError(reason);
+    return std::nullopt;
+  }
+  auto document = core::Json::parse(answer->body, nullptr, false);
+  if (answer->status >= kHttpErrorFrom) {
+    exit_code = ReportError(core::FromErrorBody(document));
+    return std::nullopt;
+  }
+  exit_code = ExitCode::kDone;
+  return document;
+}
+
+auto ShowCall(Invocation& invocation,
+              net::HttpRequest request,
+              auto(*render)(const core::Json&)->std::string) -> ExitCode {
+  auto exit_code = ExitCode::kDone;
+  const auto document = CallJson(invocation, std::move(request), exit_code);
+  if (document) {
+    std::cout << (invocation.as_json ? document->dump(2) + "\n"
+                                     : render(*document));
+  }
+  return exit_code;
+}
+
+auto Get(const std::string& path) -> net::HttpRequest {
+  return {"GET", path, {}, {}, ""};
+}
+
+auto TableShow(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/table"), RenderTable);
+}
+
+auto TableHistory(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/table-history"), RenderHistory);
+}
+
+/// Reads "column=value" words into members of a document.
+auto Assign(core::Json& document, const std::string& word) -> bool {
+  const auto equals = word.find('=');
+  if (equals == std::string::npos) {
+    std::cerr << "kcm: \"" << word << "\" is no COLUMN=VALUE.\n";
+    return false;
+  }
+  const auto text = word.substr(equals + 1);
+  auto value = core::Json::parse(text, nullptr, false);
+  document[word.substr(0, equals)] =
+      value.is_discarded() ? core::Json(text) : value;
+  return true;
+}
+
+auto TableSet(Invocation& invocation) -> ExitCode {
+  if (invocation.arguments.size() < 2) {
+    std::cerr << "kcm: table set needs ACCOUNT and COLUMN=VALUE words.\n";
+    return ExitCode::kUsage;
+  }
+  const auto path = "/v1/table/" + invocation.arguments.front();
+  core::Reason reason;
+  const auto present = invocation.client.Call(Get(path), reason);
+  if (!present) {
+    return ReportError(reason);
+  }
+  auto row = core::Json::object();
+  if (present->status < kHttpErrorFrom) {
+    row = core::Json::parse(present->body, nullptr, false);
+  }
+  for (std::size_t i = 1; i < invocation.arguments.size(); ++i) {
+    if (!Assign(row, invocation.arguments[i])) {
+      return ExitCode::kUsage;
+    }
+  }
+  return ShowCall(invocation, {"PUT", path, {}, {}, row.dump()}, RenderRow);
+}
+
+auto FleetShow(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/fleet"), RenderFleet);
+}
+
+auto FleetRecord(Invocation& invocation) -> ExitCode {
+  const auto body = invocation.arguments.empty()
+                        ? std::nullopt
+                        : ReadInput(invocation.arguments.front());
+  if (!body) {
+    return ExitCode::kUsage;
+  }
+  return ShowCall(invocation, {"PUT", "/v1/fleet", {}, {}, *body}, RenderFleet);
+}
+
+auto JobSubmit(Invocation& invocation) -> ExitCode {
+  const auto body = invocation.arguments.empty()
+                        ? std::nullopt
+                        : ReadInput(invocation.arguments.front());
+  if (!body) {
+    std::cerr << "kcm: job submit needs FILE.json or -.\n";
+    return ExitCode::kUsage;
+  }
+  return ShowCall(invocation, {"POST", "/v1/jobs", {}, {}, *body},
+                  RenderSubmitted);
+}
+
+auto JobPath(const Invocation& invocation) -> std::string {
+  return "/v1/jobs/" + (invocation.arguments.empty()
+                            ? std::string("-")
+                            : invocation.arguments.front());
+}
+
+auto JobList(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/jobs"), RenderJobs);
+}
+
+auto JobShow(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get(JobPath(invocation)), RenderJob);
+}
+
+auto JobCancel(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation,
+                  {"POST", JobPath(invocation) + "/cancel", {}, {}, ""},
+                  RenderCancelled);
+}
+
+auto JobWait(Invocation& invocation) -> ExitCode {
+  while (true) {
+    auto exit_code = ExitCode::kDone;
+    const auto job = CallJson(invocation, Get(JobPath(invocation)), exit_code);
+    if (!job) {
+      return exit_code;
+    }
+    const auto status = job->at("status").get<state::JobStatus>();
+    if (state::IsEnded(status)) {
+      std::cout << (invocation.as_json ? job->dump(2) + "\n" : RenderJob(*job));
+      return status == state::JobStatus::kDone ? ExitCode::kDone
+                                               : ExitCode::kFailed;
+    }
+    invocation.client.Pause(kWaitPause);
+  }
+}
+
+auto RequestSend(Invocation& invocation) -> ExitCode {
+  if (invocation.arguments.empty()) {
+    std::cerr << "kcm: request send needs a BODY.\n";
+    return ExitCode::kUsage;
+  }
+  net::HttpRequest request{"POST",
+                           "/v1/requests",
+                           {},
+                           {{"content-type", "text/plain"}},
+                           invocation.arguments.front()};
+  if (invocation.arguments.size() > 1) {
+    request.headers["x-idempotent"] = "false";
+    request.headers["idempotency-key"] = invocation.arguments[1];
+  }
+  core::Reason reason;
+  const auto answer = invocation.client.Call(std::move(request), reason);
+  if (!answer) {
+    return ReportError(reason);
+  }
+  if (answer->status >= kHttpErrorFrom) {
+    return ReportError(
+        core::FromErrorBody(core::Json::parse(answer->body, nullptr, false)));
+  }
+  std::cout << answer->body << "\n";
+  return ExitCode::kDone;
+}
+
+auto StatusShow(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/status"), RenderStatus);
+}
+
+constexpr std::array kCommands = {
+    Command{"table", "show", "", "shows all rows", TableShow},
+    Command{"table", "set", "ACCOUNT COLUMN=VALUE...", "edits one row",
+            TableSet},
+    Command{"table", "history", "", "shows the accepted edits", TableHistory},
+    Command{"fleet", "show", "", "shows the workers on record", FleetShow},
+    Command{"fleet", "record", "FILE", "records the workers", FleetRecord},
+    Command{"job", "submit", "FILE", "submits a job", JobSubmit},
+    Command{"job", "list", "", "lists jobs", JobList},
+    Command{"job", "show", "JOB", "shows one job", JobShow},
+    Command{"job", "wait", "JOB", "waits until a job has ended", JobWait},
+    Command{"job", "cancel", "JOB", "cancels a job", JobCancel},
+    Command{"request", "send", "BODY [KEY]",
+            "sends a request; with a key it runs at most once", RequestSend},
+    Command{"status", "show", "", "shows the gateway's view", StatusShow},
+};
+
+}  // namespace
+
+auto Commands() -> std::span<const Command> {
+  return kCommands;
+}
+
+}  // namespace kcm::cli
--- /dev/null
+++ b/Utilities/kcm/main.cc
@@ -0,0 +1,99 @@
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <optional>
+
+#include "LibCore/nearest.h"
+#include "command.h"
+
+namespace kcm::cli {
+
+namespace {
+
+auto PrintHelp(std::ostream& out) -> void {
+  out << "Usage: kcm [--gateway IP:PORT] [--token TOKEN] [--json] GROUP VERB "
+         "[ARGUMENT...]\n\nThe token may stand in KCM_TOKEN, the gateway in "
+         "KCM_GATEWAY.\n\n";
+  for (const auto& command : Commands()) {
+    out << "  " << command.group << " " << command.verb << " "
+        << command.arguments << "\n      " << command.description << "\n";
+  }
+}
+
+auto FromEnvironment(const char* name, const char* fallback) -> std::string {
+  const auto* value = std::getenv(name);
+  return value == nullptr ? fallback : value;
+}
+
+auto FindCommand(const std::vector<std::string>& words) -> const Command* {
+  if (words.size() < 2) {
+    PrintHelp(std::cerr);
+    return nullptr;
+  }
+  std::vector<std::string> known;
+  for (const auto& command : Commands()) {
+    if (command.group == words[0] && command.verb == words[1]) {
+      return &command;
+    }
+    known.push_back(std::string(command.group) + " " +
+                    std::string(command.verb));
+  }
+  const auto given = words[0] + " " + words[1];
+  std::cerr << "kcm: there is no command \"" << given << "\"."
+            << core::DidYouMean(given, known) << "\n";
+  return nullptr;
+}
+
+auto Run(int argc, char** argv) -> ExitCode {
+  cxxopts::Options options("kcm", "Command line of kingcupmast.");
+  options.add_options()("gateway", "IP:PORT", cxxopts::value<std::string>())(
+      "token", "bearer token", cxxopts::value<std::string>())(
+      "json", "print documents")("help", "print this text")(
+      "version", "print the version")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional("words");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") != 0) {
+    PrintHelp(std::cout);
+    return ExitCode::kDone;
+  }
+  if (parsed.count("version") != 0) {
+    std::cout << "kcm 0.1.0\n";
+    return ExitCode::kDone;
+  }
+  auto words = parsed.count("words") == 0
+                   ? std::vector<std::string>{}
+                   : parsed["words"].as<std::vector<std::string>>();
+  const auto* command = FindCommand(words);
+  if (command == nullptr) {
+    return ExitCode::kUsage;
+  }
+  const auto gateway = parsed.count("gateway") != 0
+                           ? parsed["gateway"].as<std::string>()
+                           : FromEnvironment("KCM_GATEWAY", "127.0.0.1:8001");
+  core::Reason reason;
+  const auto address = core::ParseAddress(gateway, "--gateway", reason);
+  if (!address) {
+    std::cerr << "kcm: " << reason.message << "\n";
+    return ExitCode::kUsage;
+  }
+  ApiClient client(*address, parsed.count("token") != 0
+                                 ? parsed["token"].as<std::string>()
+                                 : FromEnvironment("KCM_TOKEN", ""));
+  words.erase(words.begin(), words.begin() + 2);
+  Invocation invocation{client, parsed.count("json") != 0, std::move(words)};
+  return command->run(invocation);
+}
+
+}  // namespace
+
+}  // namespace kcm::cli
+
+auto main(int argc, char** argv) -> int {
+  try {
+    return static_cast<int>(kcm::cli::Run(argc, argv));
+  } catch (const std::exception& error) {
+    std::cerr << "kcm: " << error.what() << "\n";
+    return static_cast<int>(kcm::cli::ExitCode::kUsage);
+  }
+}
--- /dev/null
+++ b/Utilities/kcm/render.cc
@@ -0,0 +1,136 @@
+#include "render.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+#include <vector>
+
+namespace kcm::cli {
+
+namespace {
+
+using Cells = std::vector<std::string>;
+
+auto TextOf(const core::Json& value) -> std::string {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+/// Writes rows as columns of equal width.
+auto Align(const std::vector<Cells>& rows) -> std::string {
+  std::vector<std::size_t> widths;
+  for (const auto& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  std::string text;
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      text += row[i];
+      if (i + 1 < row.size()) {
+        text += std::string(widths[i] - row[i].size() + 2, ' ');
+      }
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+auto CellsOf(const core::Json& object, const Cells& columns) -> Cells {
+  Cells cells;
+  for (const auto& column : columns) {
+    cells.push_back(object.contains(column) ? TextOf(object.at(column)) : "-");
+  }
+  return cells;
+}
+
+const Cells kRowColumns = {"account",      "version",     "weight",
+                           "rate_per_s",   "concurrency", "queue",
+                           "accelerators", "may_borrow"};
+
+}  // namespace
+
+auto RenderTable(const core::Json& document) -> std::string {
+  std::vector<Cells> rows = {kRowColumns};
+  for (const auto& row : document.at("rows")) {
+    rows.push_back(CellsOf(row, kRowColumns));
+  }
+  return "table version " + document.at("version").dump() + "\n" + Align(rows);
+}
+
+auto RenderRow(const core::Json& row) -> std::string {
+  return Align({kRowColumns, CellsOf(row, kRowColumns)});
+}
+
+auto RenderHistory(const core::Json& document) -> std::string {
+  std::vector<Cells> rows = {
+      {"table_version", "at_ms", "by", "account", "row_version"}};
+  for (const auto& change : document.at("history")) {
+    rows.push_back({change.at("table_version").dump(),
+                    change.at("at_ms").dump(), TextOf(change.at("by")),
+                    TextOf(change.at("row").at("account")),
+                    change.at("row").at("version").dump()});
+  }
+  return Align(rows);
+}
+
+auto RenderFleet(const core::Json& fleet) -> std::string {
+  std::map<std::string, int> by_rack;
+  for (const auto& worker : fleet.at("workers")) {
+    ++by_rack[TextOf(worker.at("data_centre")) + " " +
+              TextOf(worker.at("rack"))];
+  }
+  std::vector<Cells> rows = {{"data_centre rack", "workers"}};
+  for (const auto& [rack, count] : by_rack) {
+    rows.push_back({rack, std::to_string(count)});
+  }
+  return "fleet version " + fleet.at("version").dump() + "\n" + Align(rows);
+}
+
+auto RenderSubmitted(const core::Json& document) -> std::string {
+  return TextOf(document.at("job")) + "\n";
+}
+
+auto RenderCancelled(const core::Json& /*document*/) -> std::string {
+  return "cancelled\n";
+}
+
+auto RenderJobs(const core::Json& document) -> std::string {
+  const Cells columns = {"id", "account", "data_centre", "status", "reason"};
+  std::vector<Cells> rows = {columns};
+  for (const auto& job : document.at("jobs")) {
+    rows.push_back(CellsOf(job, columns));
+  }
+  return Align(rows);
+}
+
+auto RenderJob(const core::Json& job) -> std::string {
+  std::ostringstream text;
+  text << TextOf(job.at("id")) << " of " << TextOf(job.at("spec").at("account"))
+       << ": " << TextOf(job.at("status"));
+  if (!job.at("reason").empty() && job.at("reason") != "") {
+    text << " (" << TextOf(job.at("reason")) << ")";
+  }
+  text << ", attempt " << job.at("attempt") << "\n";
+  for (const auto& member : job.at("members")) {
+    text << "  rack " << TextOf(member.at("rack")) << ", worker "
+         << TextOf(member.at("worker")) << ", accelerators "
+         << member.at("accelerators").dump() << "\n";
+  }
+  return text.str();
+}
+
+auto RenderStatus(const core::Json& status) -> std::string {
+  std::ostringstream text;
+  text << TextOf(status.at("node")) << ": table version "
+       << status.at("table_version") << ", relay " << TextOf(status.at("relay"))
+       << ", open requests " << status.at("open_requests") << "\n";
+  for (const auto& [data_centre, term] : status.at("terms").items()) {
+    text << "  " << data_centre << ": term " << term.at("number")
+         << ", scheduler " << TextOf(term.at("holder")) << "\n";
+  }
+  return text.str();
+}
+
+}  // namespace kcm::cli
--- /dev/null
+++ b/Utilities/kcm/render.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "LibCore/json.h"
+
+namespace kcm::cli {
+
+/// Each function writes one kind of answer as text for people.
+auto RenderTable(const core::Json& document) -> std::string;
+auto RenderRow(const core::Json& row) -> std::string;
+auto RenderHistory(const core::Json& document) -> std::string;
+auto RenderFleet(const core::Json& fleet) -> std::string;
+auto RenderSubmitted(const core::Json& document) -> std::string;
+auto RenderCancelled(const core::Json& document) -> std::string;
+auto RenderJobs(const core::Json& document) -> std::string;
+auto RenderJob(const core::Json& job) -> std::string;
+auto RenderStatus(const core::Json& status) -> std::string;
+
+}  // namespace kcm::cli
