--- a/Libraries/LibNode/heartbeats.cc
+++ b/Libraries/LibNode/heartbeats.cc
@@ -20,7 +20,9 @@
                        std::vector<std::string> peers)
     : bus_(bus), peers_(std::move(peers)), table_(kSuspicion) {
   bus_.OnMessage("heartbeat", [this](const net::BusMessage& message) {
-    if (message.body.value("leaving", false)) {
+    const auto heartbeat = message.body.get<Heartbeat>();
+    said_[message.from] = heartbeat;
+    if (heartbeat.leaving) {
       table_.Forget(message.from);
       return;
     }
@@ -33,7 +35,7 @@
 }
 
 auto Heartbeats::IsAlive(const std::string& peer) const -> bool {
-  return (peer == bus_.self() && !leaving_) ||
+  return (peer == bus_.self() && !own_.leaving) ||
          table_.IsAlive(peer, core::MonotonicNow());
 }
 
@@ -41,14 +43,29 @@
   return table_.Alive(core::MonotonicNow());
 }
 
+auto Heartbeats::SaidBy(const std::string& peer) const -> Heartbeat {
+  const auto found = said_.find(peer);
+  return found == said_.end() ? Heartbeat{} : found->second;
+}
+
+auto Heartbeats::Say(bool ready, bool reachable) -> void {
+  if (ready == own_.ready && reachable == own_.reachable) {
+    return;
+  }
+  own_.ready = ready;
+  own_.reachable = reachable;
+  Beat();
+}
+
 auto Heartbeats::SayLeaving() -> void {
-  leaving_ = true;
+  own_.leaving = true;
   Beat();
 }
 
 auto Heartbeats::Beat() -> void {
+  table_.Tick(core::MonotonicNow());
   for (const auto& peer : peers_) {
-    bus_.Send(peer, "heartbeat", {{"leaving", leaving_}});
+    bus_.Send(peer, "heartbeat", own_);
   }
   auto alive = Alive();
   for (const auto& peer : known_alive_) {
--- a/Libraries/LibNode/log_follower.cc
+++ b/Libraries/LibNode/log_follower.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr core::Millis kAskPeriod = 250;
+constexpr core::Millis kFullPeriod = 1000;
 
 }  // namespace
 
@@ -28,30 +29,40 @@
 }
 
 auto LogFollower::ConfirmedAge() const -> core::Millis {
-  return core::MonotonicNow() - heard_at_;
+  return core::MonotonicNow() - confirmed_at_;
 }
 
 auto LogFollower::Ask() -> void {
   const auto now = core::MonotonicNow();
-  auto relay = choose_(now - std::max(heard_at_, relay_since_));
-  if (relay != relay_) {
+  auto relay = choose_(now - std::max(confirmed_at_, relay_since_));
+  const bool changed = relay != relay_;
+  if (changed) {
     relay_ = std::move(relay);
     relay_since_ = now;
   }
   if (relay_.empty()) {
     return;
   }
+  if (changed || now - full_at_ >= kFullPeriod) {
+    AskInFull();
+  } else {
+    bus_.Send(relay_, "follow", core::Json::object());
+  }
+}
+
+auto LogFollower::AskInFull() -> void {
+  full_at_ = core::MonotonicNow();
   core::Json next = core::Json::object();
+  core::Json chains = core::Json::object();
   for (const auto& stream : log_.world().streams()) {
-    next[stream] = log_.NextOffset(stream);
+    const auto* fold = log_.world().FindFold(stream);
+    next[stream] = fold->next_offset();
+    chains[stream] = fold->chain();
   }
-  bus_.Send(relay_, "follow", {{"next", next}});
+  bus_.Send(relay_, "follow", {{"next", next}, {"chains", chains}});
 }
 
 auto LogFollower::OnBatch(const net::BusMessage& message) -> void {
-  if (message.from == relay_) {
-    heard_at_ = core::MonotonicNow();
-  }
   bool whole = true;
   for (const auto& [stream, part] : message.body.at("streams").items()) {
     if (part.contains("snapshot")) {
@@ -63,9 +74,19 @@
                           part.at("records").get<std::vector<core::Json>>()) &&
         whole;
   }
-  if (!whole) {
-    Ask();
+  if (message.from != relay_) {
+    return;
+  }
+  if (!whole || message.body.value("more", false)) {
+    AskInFull();
+  } else if (message.body.value("ready", false)) {
+    Confirm();
   }
 }
 
+auto LogFollower::Confirm() -> void {
+  confirmed_at_ = core::MonotonicNow();
+  caught_up_ = true;
+}
+
 }  // namespace kcm::node
--- a/Libraries/LibNode/log_state.cc
+++ b/Libraries/LibNode/log_state.cc
@@ -6,19 +6,6 @@
 
 namespace kcm::node {
 
-namespace {
-
-/// A record that this version cannot read still takes its offset.
-auto ToRecord(const core::Json& raw) -> state::Record {
-  try {
-    return raw.get<state::Record>();
-  } catch (const core::Json::exception&) {
-    return {};
-  }
-}
-
-}  // namespace
-
 auto LogState::OnApplied(Listener listener) -> void {
   listeners_.push_back(std::move(listener));
 }
@@ -43,7 +30,7 @@
   auto offset = first_offset;
   for (const auto& raw : records) {
     if (offset == fold->next_offset()) {
-      const auto record = ToRecord(raw);
+      const auto record = state::ReadRecord(raw);
       const auto verdict = fold->Apply(offset, record);
       for (const auto& listener : listeners_) {
         listener({stream, offset, raw, record, verdict});
--- a/Libraries/LibNode/log_writer.cc
+++ b/Libraries/LibNode/log_writer.cc
@@ -2,26 +2,40 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "LibCore/clock.h"
+#include "LibCore/stable_hash.h"
 
 namespace kcm::node {
 
 namespace {
 
 constexpr core::Millis kLinger = 5;
+/// Least span between two appends to one stream: the budget of a process.
+constexpr core::Millis kAppendSpacing = 25;
 constexpr core::Millis kBackoffMin = 50;
 constexpr core::Millis kBackoffMax = 1000;
 constexpr core::Millis kExpirePeriod = 50;
 constexpr std::size_t kMaxBatch = 256;
 
+auto NothingRecorded() -> state::Verdict {
+  return state::Verdict::Reject(core::ErrorKind::kLogDown, "log",
+                                "The log is down; nothing was recorded.");
+}
+
+auto MayBeRecorded() -> state::Verdict {
+  return state::Verdict::Reject(core::ErrorKind::kOutcomeUnknown, "log",
+                                "The log did not confirm the record in time; "
+                                "it may still take effect.");
+}
+
 }  // namespace
 
 LogWriter::LogWriter(net::EventLoop& loop,
                      LogState& log,
-                     platform::LogClient& client)
-    : loop_(loop), client_(client) {
+                     platform::LogClient& client,
+                     std::string self)
+    : loop_(loop), client_(client), self_(std::move(self)) {
   log.OnApplied([this](const AppliedRecord& applied) { OnApplied(applied); });
   loop.Every(kExpirePeriod, [this] { Expire(); });
 }
@@ -29,11 +43,13 @@
 auto LogWriter::Append(const std::string& stream,
                        state::Record record,
                        core::Millis deadline,
-                       Done done) -> void {
+                       Done done,
+                       OnRefused on_refused) -> void {
   auto pending = std::make_shared<Pending>();
   pending->record = std::move(record);
   pending->deadline = deadline;
   pending->done = std::move(done);
+  pending->on_refused = on_refused;
   unsettled_[pending->record.id] = pending;
   streams_[stream].queue.push_back(std::move(pending));
   ScheduleFlush(stream, kLinger);
@@ -45,7 +61,8 @@
   if (std::exchange(stream.flush_due, true)) {
     return;
   }
-  loop_.After(delay, [this, name] {
+  const auto earliest = stream.sent_at + kAppendSpacing - core::MonotonicNow();
+  loop_.After(std::max(delay, earliest), [this, name] {
     streams_[name].flush_due = false;
     Flush(name);
   });
@@ -56,20 +73,17 @@
   if (stream.in_flight) {
     return;
   }
-  std::vector<std::shared_ptr<Pending>> batch;
-  std::vector<core::Json> records;
-  while (!stream.queue.empty() && batch.size() < kMaxBatch) {
-    auto pending = std::move(stream.queue.front());
-    stream.queue.pop_front();
-    if (!pending->settled) {
-      records.emplace_back(pending->record);
-      batch.push_back(std::move(pending));
-    }
-  }
+  const auto batch = TakeBatch(stream);
   if (batch.empty()) {
     return;
   }
+  std::vector<core::Json> records;
+  records.reserve(batch.size());
+  for (const auto& pending : batch) {
+    records.emplace_back(pending->record);
+  }
   stream.in_flight = true;
+  stream.sent_at = core::MonotonicNow();
   ++appends_;
   client_.Append(name, records,
                  [this, name, batch](platform::AppendOutcome outcome) {
@@ -77,30 +91,68 @@
                  });
 }
 
+auto LogWriter::TakeBatch(Stream& stream) -> Batch {
+  Batch batch;
+  while (!stream.queue.empty() && batch.size() < kMaxBatch) {
+    auto pending = std::move(stream.queue.front());
+    stream.queue.pop_front();
+    if (!pending->settled) {
+      pending->sending = true;
+      batch.push_back(std::move(pending));
+    }
+  }
+  return batch;
+}
+
 auto LogWriter::OnAppended(const std::string& name,
-                           const std::vector<std::shared_ptr<Pending>>& batch,
+                           const Batch& batch,
                            platform::AppendOutcome outcome) -> void {
   auto& stream = streams_[name];
   stream.in_flight = false;
+  const bool nowhere = outcome == platform::AppendOutcome::kRefused ||
+                       outcome == platform::AppendOutcome::kThrottled;
+  for (const auto& pending : batch) {
+    pending->sending = false;
+    pending->maybe_appended = pending->maybe_appended || !nowhere;
+  }
   if (outcome == platform::AppendOutcome::kAppended) {
     stream.backoff = 0;
-    for (const auto& pending : batch) {
-      pending->maybe_appended = true;
-      pending->in_log = true;
-    }
     ScheduleFlush(name, 0);
     return;
   }
+  Requeue(stream, batch);
+  ScheduleFlush(name, NextBackoff(name));
+  if (outcome == platform::AppendOutcome::kRefused) {
+    SettleRefused(stream);
+  }
+}
+
+auto LogWriter::Requeue(Stream& stream, const Batch& batch) -> void {
   for (auto pending = batch.rbegin(); pending != batch.rend(); ++pending) {
-    if (outcome == platform::AppendOutcome::kUnknown) {
-      (*pending)->maybe_appended = true;
-    }
     if (!(*pending)->settled) {
       stream.queue.push_front(*pending);
     }
   }
+}
+
+auto LogWriter::SettleRefused(Stream& stream) -> void {
+  // A settled record may make its owner append the next one.
+  const auto waiting = stream.queue;
+  for (const auto& pending : waiting) {
+    if (pending->on_refused == OnRefused::kSettle && !pending->settled &&
+        !pending->maybe_appended) {
+      Settle(pending, NothingRecorded());
+    }
+  }
+}
+
+auto LogWriter::NextBackoff(const std::string& name) -> core::Millis {
+  auto& stream = streams_[name];
   stream.backoff = std::clamp(stream.backoff * 2, kBackoffMin, kBackoffMax);
-  ScheduleFlush(name, stream.backoff);
+  const auto seed = self_ + name + std::to_string(appends_);
+  const auto spread = static_cast<std::uint64_t>(stream.backoff / 2);
+  return stream.backoff -
+         static_cast<core::Millis>(core::StableHash(seed) % spread);
 }
 
 auto LogWriter::OnApplied(const AppliedRecord& applied) -> void {
@@ -112,29 +164,15 @@
 
 auto LogWriter::Expire() -> void {
   const auto now = core::MonotonicNow();
-  std::vector<std::shared_ptr<Pending>> expired;
+  Batch expired;
   for (const auto& [id, pending] : unsettled_) {
     if (now >= pending->deadline) {
       expired.push_back(pending);
     }
   }
   for (const auto& pending : expired) {
-    const bool in_flight =
-        !pending->in_log &&
-        std::none_of(streams_.begin(), streams_.end(), [&](const auto& entry) {
-          const auto& queue = entry.second.queue;
-          return std::find(queue.begin(), queue.end(), pending) != queue.end();
-        });
-    if (pending->maybe_appended || in_flight) {
-      Settle(pending,
-             state::Verdict::Reject(core::ErrorKind::kOutcomeUnknown, "log",
-                                    "The log did not confirm the record in "
-                                    "time; it may still take effect."));
-    } else {
-      Settle(pending,
-             state::Verdict::Reject(core::ErrorKind::kLogDown, "log",
-                                    "The log is down; nothing was recorded."));
-    }
+    const bool unknown = pending->maybe_appended || pending->sending;
+    Settle(pending, unknown ? MayBeRecorded() : NothingRecorded());
   }
 }
 
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -49,17 +49,17 @@
   return vm + "/" + std::string(NameOf(role));
 }
 
-Node::Node(NodeSettings settings)
+Node::Node(NodeSettings settings, Role role)
     : settings_(std::move(settings)),
       http_(loop_),
       log_(NamesOf(settings_.data_centres)),
       log_client_(http_, settings_.platform_log),
       vm_list_(http_, settings_.platform_vms),
-      writer_(loop_, log_, log_client_) {}
+      writer_(loop_, log_, log_client_, BusNameOf(settings_.name, role)) {}
 
 auto Node::create(NodeSettings settings, Role role, core::Reason& reason)
     -> std::unique_ptr<Node> {
-  std::unique_ptr<Node> node(new Node(std::move(settings)));
+  std::unique_ptr<Node> node(new Node(std::move(settings), role));
   const auto& own = node->settings_;
   node->bus_ = net::Bus::create(node->loop_, BusNameOf(own.name, role),
                                 own.*RowOf(role).bus, reason);
--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -61,7 +61,7 @@
       -> std::vector<std::string>;
 
  private:
-  explicit Node(NodeSettings settings);
+  Node(NodeSettings settings, Role role);
 
   NodeSettings settings_;
   net::EventLoop loop_;
--- a/Libraries/LibNode/node_settings.cc
+++ b/Libraries/LibNode/node_settings.cc
@@ -50,6 +50,12 @@
                               65535, "address for our processes"},
     core::Field<NodeSettings>{"relay.metrics", &NodeSettings::relay_metrics,
                               true, 1, 65535, "address for metrics"},
+    core::Field<NodeSettings>{"relay.snapshot_records",
+                              &NodeSettings::snapshot_records, false, 1, 1e9,
+                              "records of a stream between snapshots"},
+    core::Field<NodeSettings>{
+        "relay.snapshot_interval_ms", &NodeSettings::snapshot_interval_ms,
+        false, 100, 1e10, "longest span between snapshots of a stream"},
     core::Field<NodeSettings>{"platform.log", &NodeSettings::platform_log, true,
                               1, 65535, "address of the log service"},
     core::Field<NodeSettings>{"platform.vms", &NodeSettings::platform_vms, true,
--- a/Libraries/LibNode/node_settings.h
+++ b/Libraries/LibNode/node_settings.h
@@ -41,6 +41,8 @@
   core::Address scheduler_metrics;
   core::Address relay_bus;
   core::Address relay_metrics;
+  std::int64_t snapshot_records = 1000;
+  std::int64_t snapshot_interval_ms = 600000;
   core::Address platform_log;
   core::Address platform_vms;
   std::int64_t drain_timeout_ms = 30000;
--- a/Libraries/LibNode/relay_choice.cc
+++ b/Libraries/LibNode/relay_choice.cc
@@ -1,5 +1,7 @@
 #include "LibNode/relay_choice.h"
 
+#include <algorithm>
+
 namespace kcm::node {
 
 namespace {
@@ -14,6 +16,11 @@
   for (auto& peer : node.PeersOf(Role::kRelay, node.settings().region)) {
     relays.push_back(std::move(peer));
   }
+  for (auto& peer : node.PeersOf(Role::kRelay, "")) {
+    if (std::find(relays.begin(), relays.end(), peer) == relays.end()) {
+      relays.push_back(std::move(peer));
+    }
+  }
   return [relays, index = std::size_t{0}](core::Millis silent) mutable {
     if (silent > kRelaySilence) {
       index = (index + 1) % relays.size();
--- a/Libraries/LibPlatform/http_log_client.cc
+++ b/Libraries/LibPlatform/http_log_client.cc
@@ -7,11 +7,12 @@
 namespace {
 
 constexpr core::Millis kAppendTimeout = 2000;
-constexpr core::Millis kReadWait = 1000;
-constexpr core::Millis kReadTimeout = 3000;
+/// Time for a read's answer beyond the wait that it asked for.
+constexpr core::Millis kReadGrace = 500;
 constexpr int kReadLimit = 512;
 constexpr int kHttpOk = 200;
 constexpr int kHttpGone = 410;
+constexpr int kHttpTooMany = 429;
 
 auto PathOf(const std::string& stream) -> std::string {
   return "/v1/streams/" + stream + "/records";
@@ -27,8 +28,14 @@
       break;
   }
   // The log answers any other status only before it appends.
-  return result.answer.status == kHttpOk ? AppendOutcome::kAppended
-                                         : AppendOutcome::kRefused;
+  switch (result.answer.status) {
+    case kHttpOk:
+      return AppendOutcome::kAppended;
+    case kHttpTooMany:
+      return AppendOutcome::kThrottled;
+    default:
+      return AppendOutcome::kRefused;
+  }
 }
 
 auto ToReadResult(const net::HttpResult& result) -> ReadResult {
@@ -72,15 +79,16 @@
 
 auto HttpLogClient::Read(const std::string& stream,
                          std::int64_t from_offset,
+                         core::Millis wait,
                          ReadDone done) -> void {
   const net::HttpRequest request{"GET",
                                  PathOf(stream),
                                  {{"from", std::to_string(from_offset)},
                                   {"limit", std::to_string(kReadLimit)},
-                                  {"wait_ms", std::to_string(kReadWait)}},
+                                  {"wait_ms", std::to_string(wait)}},
                                  {},
                                  ""};
-  http_.Send(service_, request, kReadTimeout,
+  http_.Send(service_, request, wait + kReadGrace,
              [done = std::move(done)](const net::HttpResult& result) {
                done(ToReadResult(result));
              });
--- a/Libraries/LibPlatform/http_log_client.h
+++ b/Libraries/LibPlatform/http_log_client.h
@@ -15,8 +15,10 @@
   auto Append(const std::string& stream,
               const std::vector<core::Json>& records,
               AppendDone done) -> void override;
-  auto Read(const std::string& stream, std::int64_t from_offset, ReadDone done)
-      -> void override;
+  auto Read(const std::string& stream,
+            std::int64_t from_offset,
+            core::Millis wait,
+            ReadDone done) -> void override;
 
  private:
   net::HttpClient& http_;
--- a/Libraries/LibPlatform/log_client.h
+++ b/Libraries/LibPlatform/log_client.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/clock.h"
 #include "LibCore/json.h"
 
 namespace kcm::platform {
@@ -14,6 +15,8 @@
   kAppended,
   /// The log says, or the connection proves, that nothing was appended.
   kRefused,
+  /// As kRefused, because of too many appends; the log itself is up.
+  kThrottled,
   /// The records may or may not stand in the log.
   kUnknown,
 };
@@ -48,9 +51,11 @@
                       const std::vector<core::Json>& records,
                       AppendDone done) -> void = 0;
 
-  /// Reads from an offset; may wait a while for the first new record.
+  /// Reads from an offset.
+  /// @param wait span that the log may wait for the first new record.
   virtual auto Read(const std::string& stream,
                     std::int64_t from_offset,
+                    core::Millis wait,
                     ReadDone done) -> void = 0;
 };
 
--- a/Libraries/LibState/fold.cc
+++ b/Libraries/LibState/fold.cc
@@ -2,6 +2,7 @@
 
 #include "LibCore/check.h"
 #include "LibCore/identity.h"
+#include "LibCore/stable_hash.h"
 
 namespace kcm::state {
 
@@ -9,19 +10,33 @@
 
 /// Ids that a fold remembers to recognise a record appended twice.
 constexpr std::size_t kRememberedIds = 16384;
+/// Records of newer versions that a fold keeps.
+constexpr std::size_t kKeptUnknown = 1024;
 
 }  // namespace
 
 auto Fold::Apply(std::int64_t offset, const Record& record) -> Verdict {
   KCM_CHECK(offset == next_offset_);
   ++next_offset_;
+  auto verdict = Judge(record);
+  chain_ = core::StableHash(std::to_string(chain_) + record.id +
+                            (verdict.accepted ? "+" : "-"));
+  return verdict;
+}
+
+auto Fold::Judge(const Record& record) -> Verdict {
   if (known_ids_.contains(record.id)) {
     return Verdict::Reject(core::ErrorKind::kConflict, "id",
                            "The record was appended before.");
   }
   Remember(record.id);
-  if (record.kind == RecordKind::kUnknown ||
-      record.kind == RecordKind::kSnapshot) {
+  if (record.kind == RecordKind::kUnknown) {
+    if (unknown_.size() < kKeptUnknown) {
+      unknown_.push_back(record.body);
+    }
+    return Verdict::Accept();
+  }
+  if (record.kind == RecordKind::kSnapshot) {
     return Verdict::Accept();
   }
   try {
@@ -42,7 +57,9 @@
 
 auto Fold::ToSnapshot() const -> core::Json {
   return {{"next_offset", next_offset_},
+          {"chain", chain_},
           {"recent_ids", recent_ids_},
+          {"unknown", unknown_},
           {"state", StateToJson()}};
 }
 
@@ -53,14 +70,33 @@
   }
   StateFromJson(snapshot.at("state"));
   next_offset_ = offset;
+  chain_ = snapshot.value("chain", std::uint64_t{0});
   recent_ids_.clear();
   known_ids_.clear();
   for (const auto& id : snapshot.at("recent_ids")) {
     Remember(id.get<std::string>());
   }
+  TakeUnknown(snapshot.value("unknown", std::vector<core::Json>{}));
   return true;
 }
 
+auto Fold::TakeUnknown(const std::vector<core::Json>& documents) -> void {
+  unknown_.clear();
+  for (const auto& raw : documents) {
+    const auto record = ReadRecord(raw);
+    if (record.kind == RecordKind::kUnknown) {
+      unknown_.push_back(raw);
+      continue;
+    }
+    // An older version wrote the snapshot and could not read this record.
+    try {
+      (void)Decide(record);
+    } catch (const core::Json::exception&) {
+      continue;
+    }
+  }
+}
+
 auto Fold::Digest() const -> std::string {
   return core::Sha256Hex(StateToJson().dump());
 }
--- a/Libraries/LibState/fold.h
+++ b/Libraries/LibState/fold.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "LibCore/json.h"
 #include "LibState/record.h"
@@ -35,6 +36,10 @@
   /// @return whether the snapshot was taken.
   auto LoadSnapshot(const core::Json& snapshot) -> bool;
 
+  /// @return a digest of all verdicts so far, equal in all processes at one
+  ///     offset; cheap enough to be compared all the time.
+  [[nodiscard]] auto chain() const -> std::uint64_t { return chain_; }
+
   /// @return a digest of the state, equal in all processes at one offset.
   [[nodiscard]] auto Digest() const -> std::string;
 
@@ -45,9 +50,14 @@
   virtual auto StateFromJson(const core::Json& document) -> void = 0;
 
  private:
+  auto Judge(const Record& record) -> Verdict;
+  auto TakeUnknown(const std::vector<core::Json>& documents) -> void;
   auto Remember(const std::string& id) -> void;
 
   std::int64_t next_offset_ = 0;
+  std::uint64_t chain_ = 0;
+  /// Records of newer versions, whole; a snapshot hands them on.
+  std::vector<core::Json> unknown_;
   std::deque<std::string> recent_ids_;
   std::unordered_set<std::string> known_ids_;
 };
--- a/Libraries/LibState/record.h
+++ b/Libraries/LibState/record.h
@@ -65,6 +65,11 @@
 
 KCM_JSON(Record, id, kind, format, by, at, body)
 
+/// Reads a record of the log.
+/// @return the record; one that this version cannot read keeps its id, is of
+///     kind kUnknown and carries the whole document as its body.
+[[nodiscard]] auto ReadRecord(const core::Json& raw) -> Record;
+
 /// Makes a record with a fresh id and the present wall clock.
 [[nodiscard]] auto MakeRecord(RecordKind kind,
                               const std::string& by,
--- a/Services/Gateway/table_api.cc
+++ b/Services/Gateway/table_api.cc
@@ -81,7 +81,8 @@
         }
         call.reply.SendJson(core::AnswerOf(verdict.reason.kind).http_status,
                             body);
-      });
+      },
+      node::OnRefused::kSettle);
 }
 
 auto TableApi::ShowHistory(const ApiCall& call) -> void {
@@ -118,7 +119,8 @@
           return;
         }
         ShowFleet(call);
-      });
+      },
+      node::OnRefused::kSettle);
 }
 
 }  // namespace kcm::gateway
--- a/Services/Relay/relay_service.h
+++ b/Services/Relay/relay_service.h
@@ -9,14 +9,16 @@
 #include "LibNode/service.h"
 #include "log_buffer.h"
 #include "log_reader.h"
+#include "snapshot_publisher.h"
 
 namespace kcm::relay {
 
 /// Folds the log and passes it on to the processes of its region.
 ///
-/// The first live relay of a region, in the order of the names, reads from the
-/// platform; the others follow it. Two readers at once cost bytes and break
-/// nothing.
+/// One live relay of a region reads from the platform; the others follow it.
+/// Two readers at once cost bytes and break nothing. A relay that just started
+/// is not ready: it takes the state from a relay that is, or from the log, and
+/// until then no process counts its answers as confirmed.
 class RelayService final : public node::Service {
  public:
   [[nodiscard]] static auto create(node::Node& node, core::Reason& reason)
@@ -33,8 +35,14 @@
     std::map<std::string, std::int64_t> next;
   };
 
+  auto OnRecord(const node::AppliedRecord& applied) -> void;
+  auto Choose() -> void;
   [[nodiscard]] auto ChooseReader() const -> std::string;
+  auto ChooseSource(core::Millis silent) -> std::string;
+  auto UpdateReady() -> void;
   auto OnFollow(const net::BusMessage& message) -> void;
+  auto CompareChains(const std::string& follower, const core::Json& chains)
+      -> void;
   auto SendMissing(const std::string& name, Follower& follower, bool always)
       -> void;
   auto PushAll() -> void;
@@ -42,10 +50,15 @@
   node::Node& node_;
   node::Heartbeats heartbeats_;
   LogReader reader_;
+  SnapshotPublisher publisher_;
   std::map<std::string, LogBuffer> buffers_;
   std::map<std::string, Follower> followers_;
   std::unique_ptr<node::LogFollower> follower_;
   core::Millis started_at_;
+  /// Relays of other regions, asked when the own region knows nothing.
+  std::vector<std::string> far_relays_;
+  std::size_t far_index_ = 0;
+  bool ready_ = false;
   bool push_due_ = false;
 };
 
