--- a/Services/Gateway/gateway_service.cc
+++ b/Services/Gateway/gateway_service.cc
@@ -139,7 +139,8 @@
 }
 
 auto GatewayService::ShowHealth(const ApiCall& call) -> void {
-  call.reply.SendJson(kHttpOk, {{"node", node_.self()}, {"ready", !draining_}});
+  const bool ready = !draining_ && follower_.caught_up();
+  call.reply.SendJson(kHttpOk, {{"node", node_.self()}, {"ready", ready}});
 }
 
 auto GatewayService::ShowStatus(const ApiCall& call) -> void {
--- a/Tests/System/cluster.py
+++ b/Tests/System/cluster.py
@@ -141,10 +141,16 @@
 class Cluster:
     """All processes of one installation; a context manager."""
 
-    def __init__(self, build, topology=None, proxy=False, network=None):
+    def __init__(
+        self, build, topology=None, proxy=False, network=None, late=(), relay_settings=None
+    ):
+        """`late` names entry VMs that start_vm() starts; `relay_settings` are
+        further keys of the [relay] section."""
         self.build = pathlib.Path(build).resolve()
         self.topology = topology or small_glintwater()
         self.proxied = proxy
+        self.late = late
+        self.relay_settings = relay_settings or {}
         self.holder = None
         if network is None:
             network, self.holder = reserve_network()
@@ -217,6 +223,7 @@
                 f'bus = "{ip}:{BUS_PORTS[role]}"',
                 f'metrics = "{ip}:{METRICS_PORTS[role]}"',
             ]
+        lines += [f"{key} = {value}" for key, value in self.relay_settings.items()]
         lines += [
             "",
             "[platform]",
@@ -290,6 +297,16 @@
             self.folder / f"{entry}.toml",
         )
 
+    def start_vm(self, entry):
+        """Starts all services of one entry VM."""
+        for role in reversed(ROLES):
+            self.start_service(entry, role)
+
+    def kill_vm(self, entry):
+        """Kills all services of one entry VM."""
+        for role in ROLES:
+            self.kill(f"{entry}/{role}")
+
     def start_worker(self, name):
         worker = next(w for w in self.topology.workers if w["id"] == name)
         self.spawn(
@@ -347,10 +364,10 @@
             self.start_worker(worker["id"])
         for minion in self.topology.minions:
             self.start_minion(minion)
-        for entry in self.topology.entries:
-            for role in reversed(ROLES):
-                self.start_service(entry, role)
-        for entry in self.topology.entries:
+        early = [entry for entry in self.topology.entries if entry not in self.late]
+        for entry in early:
+            self.start_vm(entry)
+        for entry in early:
             wait_until(
                 lambda entry=entry: self.status(entry)["confirmed_ms_ago"] < 1000,
                 f"{entry} follows the log",
