Gateway: Answer an edit when every live process has it in force

Cause: an operator could not know when an accepted row rules everywhere. Change: PUT /v1/table/ACCOUNT?wait=everywhere asks all processes for their offset of the table and names those that were not seen to have it; nothing is sent while nobody asks. Ruled out: offsets in every heartbeat, because of the bytes at rest.

--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -71,14 +71,18 @@
   if (node->metrics_ == nullptr) {
     return nullptr;
   }
+  std::vector<std::string> others;
   for (const auto& peer : own.peers) {
     for (const auto& row : kRoles) {
       const auto name = BusNameOf(peer.name, row.role);
       if (name != node->self()) {
         node->bus_->AddPeer(name, peer.*row.peer_bus);
+        others.push_back(name);
       }
     }
   }
+  node->in_force_ = std::make_unique<InForce>(node->loop_, *node->bus_,
+                                              node->log_, std::move(others));
   return node;
 }
 
--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -7,6 +7,7 @@
 #include "LibNet/bus.h"
 #include "LibNet/event_loop.h"
 #include "LibNet/http_client.h"
+#include "LibNode/in_force.h"
 #include "LibNode/log_state.h"
 #include "LibNode/log_writer.h"
 #include "LibNode/metrics.h"
@@ -49,6 +50,7 @@
   }
   [[nodiscard]] auto writer() -> LogWriter& { return writer_; }
   [[nodiscard]] auto vm_list() -> platform::VmList& { return vm_list_; }
+  [[nodiscard]] auto in_force() -> InForce& { return *in_force_; }
   [[nodiscard]] auto metrics() -> Metrics& { return *metrics_; }
 
   /// @return bus names of one role on the other entry VMs.
@@ -72,6 +74,7 @@
   platform::HttpLogClient log_client_;
   platform::HttpVmList vm_list_;
   LogWriter writer_;
+  std::unique_ptr<InForce> in_force_;
 };
 
 }  // namespace kcm::node
--- a/Libraries/LibState/snapshot_chunk.cc
+++ b/Libraries/LibState/snapshot_chunk.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxChunkBytes = 48 * 1024;
+constexpr std::size_t kMaxChunkBytes = 48UL * 1024;
 
 }  // namespace
 
--- a/Services/Gateway/table_api.cc
+++ b/Services/Gateway/table_api.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr core::Millis kEditTimeout = 10000;
+/// Longest wait for all processes to have an accepted row in force.
+constexpr core::Millis kInForceTimeout = 5000;
 constexpr int kHttpOk = 200;
 
 /// Tokens are shown to nobody, their digests neither.
@@ -52,6 +54,7 @@
   const auto& account = call.parameters.front();
   document["account"] = account;
   document.erase("has_token");
+  document.erase("in_force");
   core::Reason reason;
   auto row = state::ReadRow(document, reason);
   if (!row) {
@@ -72,7 +75,7 @@
         if (verdict.accepted) {
           core::LogEvent(core::Event::kRowEdited,
                          {{"account", account}, {"version", decided->version}});
-          call.reply.SendJson(kHttpOk, ToPublicJson(*decided));
+          AnswerAccepted(call, ToPublicJson(*decided));
           return;
         }
         auto body = core::ToErrorBody(verdict.reason);
@@ -85,6 +88,23 @@
       node::OnRefused::kSettle);
 }
 
+auto TableApi::AnswerAccepted(const ApiCall& call, core::Json document)
+    -> void {
+  if (call.request.argument("wait", "") != "everywhere") {
+    call.reply.SendJson(kHttpOk, document);
+    return;
+  }
+  const std::string table(state::kTableStream);
+  node_.in_force().Await(table, node_.log().NextOffset(table), kInForceTimeout,
+                         [call, document = std::move(document)](
+                             const std::vector<std::string>& missing) mutable {
+                           document["in_force"] = {
+                               {"everywhere", missing.empty()},
+                               {"missing", missing}};
+                           call.reply.SendJson(kHttpOk, document);
+                         });
+}
+
 auto TableApi::ShowHistory(const ApiCall& call) -> void {
   core::Json changes = core::Json::array();
   for (const auto& change : node_.log().world().table().history()) {
--- a/Services/Gateway/table_api.h
+++ b/Services/Gateway/table_api.h
@@ -18,6 +18,10 @@
   auto RecordFleet(const ApiCall& call) -> void;
 
  private:
+  /// Answers an accepted edit, at once or, by "?wait=everywhere", when every
+  /// live process has it in force.
+  auto AnswerAccepted(const ApiCall& call, core::Json document) -> void;
+
   node::Node& node_;
 };
 
--- a/Services/Relay/relay_service.cc
+++ b/Services/Relay/relay_service.cc
@@ -89,7 +89,7 @@
 }
 
 auto RelayService::ChooseSource(core::Millis silent) -> std::string {
-  const auto reader = ChooseReader();
+  auto reader = ChooseReader();
   if (reader != node_.self()) {
     return reader;
   }
--- a/Tests/System/table_faults_test.py
+++ b/Tests/System/table_faults_test.py
@@ -165,6 +165,20 @@
             self.accept(system, "entry-1", "council", 5)
             self.assertEqual(version_at(system, "entry-1", "council"), 1)
 
+    def test_answer_waits_until_the_row_is_in_force_everywhere(self):
+        path = "/v1/table/council?wait=everywhere"
+        with small_table() as system:
+            answer = system.operator("entry-1", "PUT", path, {"weight": 2})
+            self.assertEqual(answer.json()["in_force"], {"everywhere": True, "missing": []})
+            for entry in system.topology.entries:
+                self.assertEqual(version_at(system, entry, "council"), 1)
+            cut_region(system, True)
+            answer = system.operator("entry-1", "PUT", path, {"version": 1, "weight": 3})
+            self.assertEqual(answer.status, 200, answer.body)
+            far = [f"entry-3/{role}" for role in sorted(testing.ROLES)]
+            self.assertEqual(answer.json()["in_force"], {"everywhere": False, "missing": far})
+            self.assertEqual(version_at(system, "entry-3", "council"), 1)
+
     def test_new_vm_boots_with_the_log_down(self):
         # entry-1 comes first by name; entry-3 is alone in its region.
         for late in ("entry-1", "entry-3"):
