LibSchedule: Keep guarantees reclaimable over an indexed model

Cause: the planner was a first fit by job id that scanned every worker and knew no guarantees. A guarantee is cut into units whose seats are kept out of the firm view for good; gangs of the account use whole slots inside them, so the rest stays claimable by construction. What can be preempted may borrow; a reclaim holds the room for its beneficiary. Urgent jobs, weighted dominant shares, reservations with backfill, run-time correction and failure tracking stand beside in files of their own. Ruled out: charging by totals of accelerators, which leaves shapes that no rack can seat; seating only the unused part of a unit, which cannot grow back into one rack when the gang ends. Seen failing: firm gangs placed from the free view, then holds that do not take the room: both properties fail.

--- /dev/null
+++ b/Libraries/LibSchedule/failure_tracker.cc
@@ -0,0 +1,59 @@
+#include "LibSchedule/failure_tracker.h"
+
+namespace kcm::schedule {
+
+namespace {
+
+/// Distinct jobs and accounts that must fail on a worker to cordon it.
+constexpr std::size_t kJobsToCordon = 3;
+constexpr std::size_t kAccountsToCordon = 2;
+/// Healthy workers on which a job must fail to be quarantined.
+constexpr std::size_t kWorkersToQuarantine = 3;
+
+}  // namespace
+
+auto FailureTracker::IsBad(const std::string& worker) const -> bool {
+  const auto found = workers_.find(worker);
+  if (found == workers_.end() || found->second.size() < kJobsToCordon) {
+    return false;
+  }
+  std::set<std::string> accounts;
+  for (const auto& [job, account] : found->second) {
+    accounts.insert(account);
+  }
+  return accounts.size() >= kAccountsToCordon;
+}
+
+auto FailureTracker::Failed(const std::string& job,
+                            const std::string& account,
+                            const std::string& worker) -> Finding {
+  Finding finding;
+  auto& tried = jobs_[job];
+  tried.insert(worker);
+  // A job that fails elsewhere too says nothing about this worker.
+  if (tried.size() == 1) {
+    workers_[worker][job] = account;
+    if (IsBad(worker)) {
+      finding.bad_worker = worker;
+      return finding;
+    }
+  } else {
+    for (const auto& other : tried) {
+      if (const auto found = workers_.find(other); found != workers_.end()) {
+        if (!IsBad(other)) {
+          found->second.erase(job);
+        }
+      }
+    }
+  }
+  std::size_t healthy = 0;
+  for (const auto& other : tried) {
+    healthy += IsBad(other) ? 0 : 1;
+  }
+  if (healthy >= kWorkersToQuarantine) {
+    finding.bad_job = job;
+  }
+  return finding;
+}
+
+}  // namespace kcm::schedule
--- /dev/null
+++ b/Libraries/LibSchedule/failure_tracker.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace kcm::schedule {
+
+/// Tells workers that fail everything from jobs that fail everywhere.
+class FailureTracker {
+ public:
+  /// A worker whose jobs of several accounts failed, or a job that failed on
+  /// several healthy workers.
+  struct Finding {
+    std::string bad_worker;
+    std::string bad_job;
+  };
+
+  /// Counts one failure.
+  /// @return what it proves, with empty names when it proves nothing.
+  [[nodiscard]] auto Failed(const std::string& job,
+                            const std::string& account,
+                            const std::string& worker) -> Finding;
+
+  /// A job ran well on a worker; clears the worker of earlier failures.
+  auto Succeeded(const std::string& worker) -> void { workers_.erase(worker); }
+
+  /// Forgets a job that will not run again.
+  auto ForgetJob(const std::string& job) -> void { jobs_.erase(job); }
+
+  /// Forgets the failures of a worker that was put back into service.
+  auto ForgetWorker(const std::string& worker) -> void {
+    workers_.erase(worker);
+  }
+
+ private:
+  /// Accounts by failed job.
+  using Failures = std::map<std::string, std::string>;
+
+  [[nodiscard]] auto IsBad(const std::string& worker) const -> bool;
+
+  std::unordered_map<std::string, Failures> workers_;
+  std::unordered_map<std::string, std::set<std::string>> jobs_;
+};
+
+}  // namespace kcm::schedule
--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -1,98 +1,276 @@
 #include "LibSchedule/planner.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
-#include "LibSchedule/placement.h"
+#include "LibSchedule/explain.h"
+#include "LibSchedule/guaranteed_pass.h"
+#include "LibSchedule/open_pass.h"
+#include "LibSchedule/planner_state.h"
+#include "LibSchedule/reservation_pass.h"
 
 namespace kcm::schedule {
 
-Planner::Planner(PolicySettings settings, std::string data_centre)
-    : settings_(settings), data_centre_(std::move(data_centre)) {}
+namespace {
 
-auto Planner::SetFleet(const state::Fleet& fleet) -> void {
-  fleet_ = FleetModel(fleet, data_centre_);
-  for (const auto& [id, usable] : usable_) {
-    fleet_.SetUsable(id, usable);
-  }
-  for (const auto& [id, job] : placed_) {
-    for (const auto& member : job.members) {
-      fleet_.Take(member, job.spec.shape);
+/// Wait that one unit of expected run time is worth in the queue when only
+/// completion time counts.
+constexpr double kRunTimeStretch = 4;
+/// Longest run time that the queue order looks at.
+constexpr core::Millis kMaxRankedRun = 4 * 3600 * 1000;
+/// Wait that a doubling of a gang's size is worth when only fragmentation
+/// counts.
+constexpr double kSizeBonusMs = 600000;
+
+auto RankOf(const WaitingJob& job,
+            core::Millis expected,
+            const PolicySettings& settings) -> core::Millis {
+  const auto run = static_cast<double>(std::min(expected, kMaxRankedRun));
+  const auto size = static_cast<double>(
+      std::max<std::int64_t>(state::TotalAccelerators(job.job_class.shape), 1));
+  const auto penalty =
+      (1 - settings.fragmentation_weight) * kRunTimeStretch * run;
+  const auto bonus =
+      settings.fragmentation_weight * kSizeBonusMs * std::log2(size);
+  return job.since + static_cast<core::Millis>(penalty - bonus);
+}
+
+/// @return a gang with the seats that the log gives its members.
+auto GangOf(const state::Job& job, CellModel& model) -> Gang {
+  Gang gang;
+  gang.id = job.id;
+  gang.account = job.spec.account;
+  gang.shape = job.spec.shape;
+  gang.recovery = job.spec.recovery;
+  gang.urgent = job.spec.urgent;
+  gang.placed = true;
+  gang.attempt = job.attempt;
+  gang.declared_ms = job.spec.declared_run_ms;
+  for (const auto& member : job.members) {
+    const auto worker = model.table.Intern(member.worker);
+    if (gang.seats.empty() || gang.seats.back().worker != worker) {
+      gang.seats.push_back({worker, 0});
+      gang.masks.push_back(0);
+    }
+    ++gang.seats.back().members;
+    for (const auto index : member.accelerators) {
+      gang.masks.back() |= std::uint64_t{1} << static_cast<unsigned>(index);
     }
   }
-  for (const auto& [id, waiting] : waiting_) {
-    for (const auto& member : waiting.members) {
-      fleet_.Take(member, waiting.job.spec.shape);
+  model.Grow();
+  return gang;
+}
+
+auto SameGuarantees(const std::map<std::string, state::Row>& left,
+                    const std::map<std::string, state::Row>& right) -> bool {
+  const auto same_row = [](const auto& a, const auto& b) {
+    return a.first == b.first && a.second.may_borrow == b.second.may_borrow &&
+           std::equal(a.second.guarantees.begin(), a.second.guarantees.end(),
+                      b.second.guarantees.begin(), b.second.guarantees.end(),
+                      [](const auto& x, const auto& y) {
+                        return x.data_centre == y.data_centre &&
+                               x.count == y.count && x.shape == y.shape;
+                      });
+  };
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    same_row);
+}
+
+}  // namespace
+
+Planner::Planner(PolicySettings settings, std::string data_centre)
+    : state_(std::make_unique<PlannerState>(settings, std::move(data_centre))) {
+}
+
+Planner::Planner(Planner&& other) noexcept = default;
+auto Planner::operator=(Planner&& other) noexcept -> Planner& = default;
+Planner::~Planner() = default;
+
+auto Planner::SetFleet(const state::Fleet& fleet) -> void {
+  state_->CancelAllHolds();
+  state_->model.table.SetFleet(fleet, state_->data_centre);
+  for (const auto& [id, usable] : reported_) {
+    if (const auto worker = state_->model.table.Find(id)) {
+      state_->model.table.SetUsable(*worker,
+                                    usable && !state_->cordoned.contains(id));
     }
   }
+  state_->Rebuild();
 }
 
-auto Planner::SetRows(const std::map<std::string, state::Row>& /*rows*/)
-    -> void {}
+auto Planner::SetRows(const std::map<std::string, state::Row>& rows) -> void {
+  if (!SameGuarantees(state_->rows, rows)) {
+    state_->rebuild = true;
+  }
+  state_->rows = rows;
+}
 
 auto Planner::SetWorkerUsable(const std::string& worker, bool usable) -> void {
-  usable_[worker] = usable;
-  fleet_.SetUsable(worker, usable);
+  reported_[worker] = usable;
+  const auto index = state_->model.table.Find(worker);
+  const bool wanted = usable && !state_->cordoned.contains(worker);
+  if (!index || state_->model.table.at(*index).usable == wanted) {
+    return;
+  }
+  if (!wanted) {
+    // Units that lose their seats go before reservations.
+    state_->CancelReservations();
+    std::vector<std::string> broken;
+    for (const auto& [job, hold] : state_->holds) {
+      if (std::any_of(
+              hold.seats.begin(), hold.seats.end(),
+              [&](const Seat& seat) { return seat.worker == *index; })) {
+        broken.push_back(job);
+      }
+    }
+    for (const auto& job : broken) {
+      state_->CancelHold(job);
+    }
+  }
+  state_->model.SetUsable(*index, wanted);
+  state_->ledger.OnWorkerChanged(*index);
+}
+
+auto Planner::UncordonWorker(const std::string& worker) -> void {
+  state_->cordoned.erase(worker);
+  state_->failures.ForgetWorker(worker);
+  const auto reported = reported_.find(worker);
+  SetWorkerUsable(worker, reported == reported_.end() || reported->second);
 }
 
 auto Planner::JobWaiting(const state::Job& job, core::Millis now) -> void {
-  JobEnded(job, "", now);
-  waiting_[job.id] = {job, now, false, {}};
+  state_->now = now;
+  if (const auto* known = state_->waiting.Find(job.id);
+      known != nullptr && known->attempt == job.attempt) {
+    return;
+  }
+  if (const auto found = quarantined_.find(job.id);
+      found != quarantined_.end()) {
+    state_->RemoveGang(job.id);
+    Refuse(job.id, found->second);
+    return;
+  }
+  WaitingJob waiting;
+  waiting.id = job.id;
+  waiting.account = job.spec.account;
+  waiting.job_class = {job.spec.shape, job.spec.urgent,
+                       job.spec.recovery != state::Recovery::kNone};
+  waiting.recovery = job.spec.recovery;
+  waiting.declared_ms = job.spec.declared_run_ms;
+  waiting.attempt = job.attempt;
+  waiting.since = now;
+  if (const auto gang = state_->gangs.find(job.id);
+      gang != state_->gangs.end()) {
+    waiting.since = gang->second.since;
+    state_->RemoveGang(job.id);
+  }
+  if (state_->model.table.rack_count() > 0 &&
+      !state_->model.recorded.Find(job.spec.shape)) {
+    Refuse(job.id, "The gang finds no room in " + state_->data_centre +
+                       " even when all its workers are free.");
+    return;
+  }
+  waiting.rank = RankOf(
+      waiting, state_->estimate.Expect(waiting.account, waiting.declared_ms),
+      state_->settings);
+  state_->waiting.Insert(std::move(waiting));
 }
 
 auto Planner::JobPlaced(const state::Job& job, core::Millis now) -> void {
-  JobEnded(job, "", now);
-  for (const auto& member : job.members) {
-    fleet_.Take(member, job.spec.shape);
+  state_->now = now;
+  if (const auto found = state_->gangs.find(job.id);
+      found != state_->gangs.end() && found->second.attempt == job.attempt) {
+    if (!found->second.placed) {
+      state_->OnPlaced(found->second);
+    }
+    return;
+  }
+  state_->CancelHold(job.id);
+  state_->waiting.Erase(job.id);
+  auto gang = GangOf(job, state_->model);
+  gang.since = now;
+  gang.started = now;
+  state_->AdoptGang(std::move(gang));
+}
+
+auto Planner::AttemptFailed(const state::Job& job,
+                            const std::string& bad_worker,
+                            core::Millis now) -> void {
+  state_->now = now;
+  const auto finding =
+      state_->failures.Failed(job.id, job.spec.account, bad_worker);
+  if (!finding.bad_worker.empty() &&
+      state_->cordoned.insert(finding.bad_worker).second) {
+    const auto reported = reported_.find(finding.bad_worker);
+    SetWorkerUsable(finding.bad_worker,
+                    reported == reported_.end() || reported->second);
+    pending_.emplace_back(CordonWorker{
+        finding.bad_worker, "Jobs of several accounts failed on the worker."});
+  }
+  if (!finding.bad_job.empty()) {
+    quarantined_[finding.bad_job] =
+        "The job failed on several healthy workers.";
   }
-  placed_[job.id] = job;
 }
 
 auto Planner::JobEnded(const state::Job& job,
-                       const std::string& /*bad_worker*/,
-                       core::Millis /*now*/) -> void {
-  if (const auto found = waiting_.find(job.id); found != waiting_.end()) {
-    for (const auto& member : found->second.members) {
-      fleet_.Give(member, found->second.job.spec.shape);
-    }
-    waiting_.erase(found);
+                       const std::string& bad_worker,
+                       core::Millis now) -> void {
+  state_->now = now;
+  state_->CancelHold(job.id);
+  state_->waiting.Erase(job.id);
+  if (!bad_worker.empty()) {
+    AttemptFailed(job, bad_worker, now);
   }
-  if (const auto found = placed_.find(job.id); found != placed_.end()) {
-    for (const auto& member : found->second.members) {
-      fleet_.Give(member, found->second.spec.shape);
+  if (const auto found = state_->gangs.find(job.id);
+      found != state_->gangs.end()) {
+    const auto& gang = found->second;
+    if (job.status == state::JobStatus::kDone) {
+      for (const auto& seat : gang.seats) {
+        state_->failures.Succeeded(state_->model.table.at(seat.worker).id);
+      }
+      if (job.checkpoint.empty()) {
+        state_->estimate.Learn(gang.account, gang.declared_ms,
+                               now - gang.started);
+      }
     }
-    placed_.erase(found);
+    state_->RemoveGang(job.id);
+  }
+  if (state::IsEnded(job.status)) {
+    state_->failures.ForgetJob(job.id);
+    quarantined_.erase(job.id);
   }
 }
 
-auto Planner::Plan(core::Millis /*now*/) -> std::vector<Action> {
-  std::vector<Action> actions;
-  for (auto& [id, waiting] : waiting_) {
-    if (waiting.assembling) {
-      continue;
-    }
-    auto members = FindPlacement(fleet_, waiting.job.spec.shape);
-    if (!members) {
-      continue;
-    }
-    for (const auto& member : *members) {
-      fleet_.Take(member, waiting.job.spec.shape);
-    }
-    waiting.assembling = true;
-    waiting.members = *members;
-    actions.emplace_back(
-        PlaceGang{id, waiting.job.attempt + 1, std::move(*members)});
+auto Planner::Plan(core::Millis now) -> std::vector<Action> {
+  state_->now = now;
+  if (state_->rebuild) {
+    state_->Rebuild();
   }
-  return actions;
+  state_->actions = std::exchange(pending_, {});
+  ReservationPass reservations(*state_);
+  reservations.FinishHolds();
+  GuaranteedPass(*state_).Run();
+  OpenPass open(*state_);
+  open.RunUrgent();
+  open.RunFair();
+  reservations.Reserve(open.blocked());
+  reservations.Backfill(open.blocked());
+  return std::exchange(state_->actions, {});
 }
 
 auto Planner::Explain(const std::string& job, core::Millis now) const
     -> std::string {
-  const auto found = waiting_.find(job);
-  if (found == waiting_.end()) {
-    return "The job does not wait.";
+  if (const auto found = quarantined_.find(job); found != quarantined_.end()) {
+    return found->second;
   }
-  return "Waits for " + std::to_string(now - found->second.since) +
-         " ms: no room for the whole gang.";
+  return ExplainWait(*state_, job, now);
+}
+
+auto Planner::Refuse(const std::string& job, const std::string& reason)
+    -> void {
+  pending_.emplace_back(RefuseJob{job, reason});
 }
 
 }  // namespace kcm::schedule
--- a/Libraries/LibSchedule/planner.h
+++ b/Libraries/LibSchedule/planner.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "LibCore/clock.h"
 #include "LibSchedule/action.h"
-#include "LibSchedule/fleet_model.h"
 #include "LibSchedule/policy_settings.h"
 #include "LibState/fleet.h"
 #include "LibState/job.h"
@@ -14,6 +14,8 @@
 
 namespace kcm::schedule {
 
+class PlannerState;
+
 /// Decides what runs where in one data centre.
 ///
 /// The planner is pure: it holds no socket, clock or thread. Its task tells it
@@ -23,6 +25,9 @@
 class Planner {
  public:
   Planner(PolicySettings settings, std::string data_centre);
+  Planner(Planner&& other) noexcept;
+  auto operator=(Planner&& other) noexcept -> Planner&;
+  ~Planner();
 
   /// Replaces the workers on record; placed gangs stay where they are.
   auto SetFleet(const state::Fleet& fleet) -> void;
@@ -33,12 +38,22 @@
   /// Includes or excludes a worker: not listed, leaving, cordoned or silent.
   auto SetWorkerUsable(const std::string& worker, bool usable) -> void;
 
+  /// Puts a worker that the planner cordoned back into service.
+  auto UncordonWorker(const std::string& worker) -> void;
+
   /// A job waits for a placement: new, requeued, or its placement failed.
+  /// Saying so again of a job that waits already changes nothing.
   auto JobWaiting(const state::Job& job, core::Millis now) -> void;
 
   /// A gang stands in the log as placed.
   auto JobPlaced(const state::Job& job, core::Millis now) -> void;
 
+  /// An attempt failed and the job may wait again; told before JobWaiting().
+  /// @param bad_worker the worker on which the task failed.
+  auto AttemptFailed(const state::Job& job,
+                     const std::string& bad_worker,
+                     core::Millis now) -> void;
+
   /// A job left the cell. Done and failed attempts teach run times and which
   /// workers and jobs are bad.
   /// @param bad_worker the worker on which the task failed, if one did.
@@ -53,21 +68,19 @@
   [[nodiscard]] auto Explain(const std::string& job, core::Millis now) const
       -> std::string;
 
+  /// @return the state behind the decisions, for checks and metrics.
+  [[nodiscard]] auto state() const -> const PlannerState& { return *state_; }
+
  private:
-  struct Waiting {
-    state::Job job;
-    core::Millis since = 0;
-    /// A PlaceGang for the job is under way.
-    bool assembling = false;
-    std::vector<state::Member> members;
-  };
-
-  PolicySettings settings_;
-  std::string data_centre_;
-  FleetModel fleet_;
-  std::map<std::string, bool> usable_;
-  std::map<std::string, Waiting> waiting_;
-  std::map<std::string, state::Job> placed_;
+  auto Refuse(const std::string& job, const std::string& reason) -> void;
+
+  std::unique_ptr<PlannerState> state_;
+  /// Refusals and cordons that the next Plan() hands out.
+  std::vector<Action> pending_;
+  /// Reasons of quarantined jobs.
+  std::map<std::string, std::string> quarantined_;
+  /// Usability that the task reported, by worker.
+  std::map<std::string, bool> reported_;
 };
 
 }  // namespace kcm::schedule
--- /dev/null
+++ b/Libraries/LibSchedule/planner_state.cc
@@ -0,0 +1,235 @@
+#include "LibSchedule/planner_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kcm::schedule {
+
+namespace {
+
+/// Part of a checkpointable gang's work that a preemption is taken to lose.
+constexpr double kCheckpointLoss = 0.1;
+
+const state::Row kDefaultRow;
+
+}  // namespace
+
+PlannerState::PlannerState(PolicySettings policy, std::string cell)
+    : settings(policy), data_centre(std::move(cell)), ledger(model) {}
+
+auto PlannerState::Place(const WaitingJob& job,
+                         Standing standing,
+                         GuaranteeUnit* unit,
+                         Seats seats) -> void {
+  Gang gang;
+  gang.id = job.id;
+  gang.account = job.account;
+  gang.shape = job.job_class.shape;
+  gang.recovery = job.recovery;
+  gang.urgent = job.job_class.urgent;
+  gang.standing = standing;
+  gang.unit = unit;
+  gang.attempt = job.attempt + 1;
+  gang.declared_ms = job.declared_ms;
+  gang.since = job.since;
+  gang.started = now;
+  gang.seats = std::move(seats);
+  for (const auto& seat : gang.seats) {
+    gang.masks.push_back(model.table.TakeAccelerators(
+        seat.worker, seat.members * gang.shape.accelerators));
+  }
+  auto& stored = gangs.emplace(gang.id, std::move(gang)).first->second;
+  model.AddGang(stored);
+  usage.Add(stored, 1);
+  if (standing == Standing::kFirm) {
+    model.TakeFirm(stored.seats, stored.shape);
+  }
+  actions.emplace_back(
+      PlaceGang{stored.id, stored.attempt, Membership(stored)});
+  waiting.Erase(stored.id);
+}
+
+auto PlannerState::Membership(const Gang& gang) const
+    -> std::vector<state::Member> {
+  std::vector<state::Member> members;
+  members.reserve(static_cast<std::size_t>(gang.shape.members));
+  for (std::size_t i = 0; i < gang.seats.size(); ++i) {
+    const auto& worker = model.table.at(gang.seats[i].worker);
+    auto mask = gang.masks[i];
+    for (std::int64_t n = 0; n < gang.seats[i].members; ++n) {
+      state::Member member{
+          worker.id, model.table.rack_name(worker.rack), "", {}};
+      for (std::int64_t a = 0; a < gang.shape.accelerators; ++a) {
+        member.accelerators.push_back(__builtin_ctzll(mask));
+        mask &= mask - 1;
+      }
+      members.push_back(std::move(member));
+    }
+  }
+  return members;
+}
+
+auto PlannerState::AddHold(Hold hold) -> void {
+  model.TakeHold(hold.seats, hold.shape);
+  if (hold.standing == Standing::kFirm) {
+    model.TakeFirm(hold.seats, hold.shape);
+  }
+  const auto job = hold.job;
+  holds.emplace(job, std::move(hold));
+}
+
+auto PlannerState::CancelHold(const std::string& job) -> void {
+  const auto found = holds.find(job);
+  if (found == holds.end()) {
+    return;
+  }
+  const auto& hold = found->second;
+  model.GiveHold(hold.seats, hold.shape);
+  if (hold.standing == Standing::kFirm) {
+    model.GiveFirm(hold.seats, hold.shape);
+  }
+  if (hold.unit != nullptr) {
+    GuaranteeLedger::Uncharge(*hold.unit, hold.seats, hold.shape);
+  }
+  holds.erase(found);
+}
+
+auto PlannerState::CancelReservations() -> void {
+  std::vector<std::string> jobs;
+  for (const auto& [job, hold] : holds) {
+    if (hold.reservation) {
+      jobs.push_back(job);
+    }
+  }
+  for (const auto& job : jobs) {
+    CancelHold(job);
+  }
+}
+
+auto PlannerState::CancelAllHolds() -> void {
+  while (!holds.empty()) {
+    CancelHold(std::string(holds.begin()->first));
+  }
+}
+
+auto PlannerState::Preempt(Gang& gang, const std::string& beneficiary) -> void {
+  if (gang.preempting || gang.standing != Standing::kBorrowed) {
+    return;
+  }
+  gang.preempting = true;
+  if (gang.placed) {
+    actions.emplace_back(PreemptGang{gang.id, gang.attempt, beneficiary});
+  } else {
+    pending_preemptions_[gang.id] = beneficiary;
+  }
+}
+
+auto PlannerState::OnPlaced(Gang& gang) -> void {
+  gang.placed = true;
+  gang.started = now;
+  const auto found = pending_preemptions_.find(gang.id);
+  if (found != pending_preemptions_.end()) {
+    actions.emplace_back(PreemptGang{gang.id, gang.attempt, found->second});
+    pending_preemptions_.erase(found);
+  }
+}
+
+auto PlannerState::RemoveGang(const std::string& id) -> void {
+  const auto found = gangs.find(id);
+  if (found == gangs.end()) {
+    return;
+  }
+  auto& gang = found->second;
+  pending_preemptions_.erase(id);
+  usage.Add(gang, -1);
+  model.RemoveGang(gang);
+  if (gang.standing == Standing::kFirm) {
+    model.GiveFirm(gang.seats, gang.shape);
+  }
+  if (gang.unit != nullptr) {
+    GuaranteeLedger::Uncharge(*gang.unit, gang.seats, gang.shape);
+  }
+  const bool was_firm = gang.standing != Standing::kBorrowed;
+  gangs.erase(found);
+  if (was_firm) {
+    ledger.Reseat();
+  }
+}
+
+auto PlannerState::AdoptGang(Gang gang) -> void {
+  RemoveGang(gang.id);
+  gang.standing = Standing::kBorrowed;
+  auto& stored = gangs.emplace(gang.id, std::move(gang)).first->second;
+  model.AddGang(stored);
+  usage.Add(stored, 1);
+  rebuild = true;
+}
+
+auto PlannerState::Rebuild() -> void {
+  CancelAllHolds();
+  std::vector<Gang*> all;
+  all.reserve(gangs.size());
+  for (auto& [id, gang] : gangs) {
+    all.push_back(&gang);
+  }
+  model.Reset(all);
+  ledger.Rebuild(rows, data_centre, all);
+  usage.Clear();
+  for (const auto* gang : all) {
+    usage.Add(*gang, 1);
+  }
+  rebuild = false;
+}
+
+auto PlannerState::StandingOf(const WaitingJob& job) const -> Standing {
+  const bool lends = RowOf(job.account).may_borrow;
+  return job.job_class.preemptible && lends ? Standing::kBorrowed
+                                            : Standing::kFirm;
+}
+
+auto PlannerState::ExpectedRemaining(const Gang& gang, core::Millis at) const
+    -> core::Millis {
+  const auto ran = at - gang.started;
+  const auto expected = estimate.Expect(gang.account, gang.declared_ms);
+  // A gang past its expected end is expected to go on for half as long again.
+  return std::max(expected - ran, ran / 2);
+}
+
+auto PlannerState::RowOf(const std::string& account) const
+    -> const state::Row& {
+  const auto found = rows.find(account);
+  return found == rows.end() ? kDefaultRow : found->second;
+}
+
+auto PlannerState::WithinLimits(const WaitingJob& job) const -> bool {
+  const auto& row = RowOf(job.account);
+  auto wanted = state::TotalAccelerators(job.job_class.shape);
+  auto urgent = wanted;
+  for (const auto& [id, hold] : holds) {
+    const auto* other = waiting.Find(id);
+    if (other == nullptr || other->account != job.account || id == job.id) {
+      continue;
+    }
+    const auto held = state::TotalAccelerators(hold.shape);
+    wanted += held;
+    urgent += other->job_class.urgent ? held : 0;
+  }
+  if (usage.accelerators(job.account) + wanted > row.accelerators) {
+    return false;
+  }
+  return !job.job_class.urgent ||
+         usage.urgent(job.account) + urgent <= row.urgent_accelerators;
+}
+
+auto PlannerState::LostWork(const Gang& gang) const -> double {
+  const auto size = std::max<std::int64_t>(state::TotalAccelerators(gang.shape),
+                                           gang.shape.members);
+  const auto work =
+      static_cast<double>(size) *
+      static_cast<double>(std::max<core::Millis>(now - gang.started, 1));
+  return gang.recovery == state::Recovery::kCheckpointable
+             ? work * kCheckpointLoss
+             : work;
+}
+
+}  // namespace kcm::schedule
--- /dev/null
+++ b/Libraries/LibSchedule/seat.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace kcm::schedule {
+
+/// Index of a worker in the WorkerTable.
+using WorkerIndex = std::uint32_t;
+/// Index of a rack; racks are numbered in the order of their names.
+using RackIndex = std::uint32_t;
+
+/// Members of one gang on one worker.
+struct Seat {
+  WorkerIndex worker = 0;
+  std::int64_t members = 0;
+
+  auto operator==(const Seat&) const -> bool = default;
+};
+
+/// Where a whole gang sits, one entry a worker.
+using Seats = std::vector<Seat>;
+
+}  // namespace kcm::schedule
--- /dev/null
+++ b/Libraries/LibSchedule/shape_index.cc
@@ -0,0 +1,33 @@
+#include "LibSchedule/shape_index.h"
+
+namespace kcm::schedule {
+
+ShapeIndex::ShapeIndex(const WorkerTable& table, const state::Shape& shape)
+    : table_(&table),
+      shape_(shape),
+      workers_(table.size()),
+      racks_(table.rack_count()),
+      pairs_(table.rack_count()) {}
+
+auto ShapeIndex::Update(WorkerIndex worker, const Capacity& free) -> void {
+  if (!table_->at(worker).recorded) {
+    return;
+  }
+  const auto room = MembersThatFit(free, shape_);
+  const auto change = room - workers_.room(worker);
+  if (change == 0) {
+    return;
+  }
+  workers_.Set(worker, room);
+  total_ += change;
+  const auto rack = table_->at(worker).rack;
+  racks_.Set(rack, racks_.room(rack) + change);
+  if (rack > 0) {
+    pairs_.Set(rack - 1, pairs_.room(rack - 1) + change);
+  }
+  if (rack + 1 < table_->rack_count()) {
+    pairs_.Set(rack, pairs_.room(rack) + change);
+  }
+}
+
+}  // namespace kcm::schedule
--- /dev/null
+++ b/Libraries/LibSchedule/waiting_job.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibState/recovery.h"
+#include "LibState/shape.h"
+
+namespace kcm::schedule {
+
+/// What makes waiting jobs of one account interchangeable for placement.
+struct JobClass {
+  state::Shape shape;
+  bool urgent = false;
+  /// A running gang of the class may be stopped and continued.
+  bool preemptible = false;
+
+  auto operator==(const JobClass&) const -> bool = default;
+};
+
+/// Orders classes for use as a key.
+[[nodiscard]] auto operator<(const JobClass& left, const JobClass& right)
+    -> bool;
+
+/// A job that waits for a placement.
+struct WaitingJob {
+  std::string id;
+  std::string account;
+  JobClass job_class;
+  state::Recovery recovery = state::Recovery::kNone;
+  core::Millis declared_ms = 0;
+  std::int64_t attempt = 0;
+  /// When the job began to wait for the first time.
+  core::Millis since = 0;
+  /// When the job got its first reservation; zero before.
+  core::Millis reserved_since = 0;
+  /// Place in the account's queue; lowest first.
+  core::Millis rank = 0;
+};
+
+}  // namespace kcm::schedule
--- /dev/null
+++ b/Tests/LibSchedule/cell_history.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibSchedule/planner.h"
+#include "LibSchedule/planner_state.h"
+#include "LibSchedule/reclaim_check.h"
+
+namespace kcm::schedule {
+
+/// @return a fleet with workers w<rack>-<n> of 8 accelerators each.
+inline auto FleetOf(int racks, int workers) -> state::Fleet {
+  state::Fleet fleet;
+  for (int rack = 0; rack < racks; ++rack) {
+    for (int worker = 0; worker < workers; ++worker) {
+      const auto name = std::to_string(rack) + "-" + std::to_string(worker);
+      fleet.workers.push_back({"w" + name, "a",
+                               "rack-" + std::to_string(100 + rack), 32, 131072,
+                               8});
+    }
+  }
+  return fleet;
+}
+
+inline auto ShapeOf(std::int64_t members,
+                    std::int64_t accelerators,
+                    state::Adjacency adjacency = state::Adjacency::kSameRack)
+    -> state::Shape {
+  return {members, accelerators, 1, 1024, adjacency};
+}
+
+inline auto RowOf(const std::string& account,
+                  std::vector<state::Shape> guarantees,
+                  bool may_borrow = true) -> state::Row {
+  state::Row row;
+  row.account = account;
+  row.accelerators = 100000;
+  row.urgent_accelerators = 64;
+  row.may_borrow = may_borrow;
+  for (const auto& shape : guarantees) {
+    row.guarantees.push_back({"a", 1, shape});
+  }
+  return row;
+}
+
+/// Drives a planner and plays the task that carries its actions out.
+class CellHistory {
+ public:
+  explicit CellHistory(PolicySettings settings = {}) : planner(settings, "a") {}
+
+  auto SetRows(const std::vector<state::Row>& rows) -> void {
+    std::map<std::string, state::Row> table;
+    for (const auto& row : rows) {
+      table[row.account] = row;
+    }
+    planner.SetRows(table);
+  }
+
+  auto Submit(const std::string& id,
+              const std::string& account,
+              const state::Shape& shape,
+              state::Recovery recovery,
+              core::Millis declared = 1000,
+              bool urgent = false) -> void {
+    auto& job = jobs[id];
+    job.id = id;
+    job.spec.account = account;
+    job.spec.data_centre = "a";
+    job.spec.shape = shape;
+    job.spec.recovery = recovery;
+    job.spec.declared_run_ms = declared;
+    job.spec.urgent = urgent;
+    planner.JobWaiting(job, now);
+  }
+
+  /// Plans and records the actions; placements are confirmed when asked for.
+  auto Plan(bool confirm = true) -> std::vector<Action> {
+    auto actions = planner.Plan(now);
+    for (const auto& action : actions) {
+      if (const auto* place = std::get_if<PlaceGang>(&action)) {
+        twice |= !attempts.insert({place->job, place->attempt}).second;
+        twice |=
+            assembling.contains(place->job) || running.contains(place->job);
+        assembling[place->job] = *place;
+      } else if (const auto* preempt = std::get_if<PreemptGang>(&action)) {
+        twice |= !preempting.insert(preempt->job).second;
+      } else if (const auto* refuse = std::get_if<RefuseJob>(&action)) {
+        refused[refuse->job] = refuse->reason;
+      } else if (const auto* cordon = std::get_if<CordonWorker>(&action)) {
+        cordoned.insert(cordon->worker);
+      }
+    }
+    if (confirm) {
+      ConfirmAll();
+    }
+    return actions;
+  }
+
+  auto Confirm(const std::string& id) -> void {
+    auto& job = jobs[id];
+    job.attempt = assembling[id].attempt;
+    job.members = assembling[id].members;
+    job.status = state::JobStatus::kPlaced;
+    assembling.erase(id);
+    running.insert(id);
+    planner.JobPlaced(job, now);
+  }
+
+  auto ConfirmAll() -> void {
+    while (!assembling.empty()) {
+      Confirm(std::string(assembling.begin()->first));
+    }
+  }
+
+  /// A placement or a running attempt ended without an outcome.
+  auto Requeue(const std::string& id) -> void {
+    auto& job = jobs[id];
+    if (const auto found = assembling.find(id); found != assembling.end()) {
+      // The attempt number was never committed; the next one uses it again.
+      attempts.erase({id, found->second.attempt});
+      assembling.erase(found);
+    }
+    running.erase(id);
+    preempting.erase(id);
+    job.members.clear();
+    job.status = state::JobStatus::kAccepted;
+    planner.JobWaiting(job, now);
+  }
+
+  auto End(const std::string& id,
+           state::JobStatus status = state::JobStatus::kDone,
+           const std::string& bad_worker = "") -> void {
+    auto& job = jobs[id];
+    job.status = status;
+    assembling.erase(id);
+    running.erase(id);
+    preempting.erase(id);
+    planner.JobEnded(job, bad_worker, now);
+    jobs.erase(id);
+  }
+
+  /// @return what breaks an invariant now, or nothing.
+  [[nodiscard]] auto Broken() const -> std::string {
+    if (twice) {
+      return "an action was given twice";
+    }
+    if (const auto broken = CheckReclaimable(planner.state())) {
+      return *broken;
+    }
+    return CheckGangs(planner.state()).value_or("");
+  }
+
+  Planner planner;
+  core::Millis now = 1000;
+  std::map<std::string, state::Job> jobs;
+  std::map<std::string, PlaceGang> assembling;
+  std::set<std::string> running;
+  std::set<std::string> preempting;
+  std::map<std::string, std::string> refused;
+  std::set<std::string> cordoned;
+  std::set<std::pair<std::string, std::int64_t>> attempts;
+  bool twice = false;
+};
+
+}  // namespace kcm::schedule
