LibNode: Sample bus, log, terms and memory at each scrape

Metrics::Count() built and registered its family on each call, and no process showed its bus, its position in the log or its own cost.

--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -4,10 +4,15 @@
 #include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 
+#include <utility>
+
 namespace kcm::node {
 
 namespace {
 
+constexpr std::size_t kMaxSeriesPerFamily = 256;
+constexpr int kHttpOk = 200;
+
 auto LabelsOf(const std::string& label, const std::string& value)
     -> prometheus::Labels {
   return label.empty() ? prometheus::Labels{}
@@ -24,10 +29,9 @@
       loop, address,
       [raw = metrics.get()](const net::HttpRequest& /*request*/,
                             const net::HttpReply& reply) {
-        const prometheus::TextSerializer serializer;
-        reply.Send({200,
+        reply.Send({kHttpOk,
                     {{"content-type", "text/plain; version=0.0.4"}},
-                    serializer.Serialize(raw->registry_.Collect())});
+                    raw->Serialize()});
       },
       reason);
   return metrics->server_ == nullptr ? nullptr : std::move(metrics);
@@ -36,22 +40,68 @@
 auto Metrics::Count(const std::string& name,
                     const std::string& label,
                     const std::string& value) -> void {
-  prometheus::BuildCounter()
-      .Name("kcm_" + name + "_total")
-      .Register(registry_)
-      .Add(LabelsOf(label, value))
-      .Increment();
+  CounterOf(name, label, value).Increment();
+}
+
+auto Metrics::SetTotal(const std::string& name,
+                       double total,
+                       const std::string& label,
+                       const std::string& value) -> void {
+  auto& counter = CounterOf(name, label, value);
+  if (total > counter.Value()) {
+    counter.Increment(total - counter.Value());
+  }
 }
 
 auto Metrics::Set(const std::string& name,
                   double number,
                   const std::string& label,
                   const std::string& value) -> void {
-  prometheus::BuildGauge()
-      .Name("kcm_" + name)
-      .Register(registry_)
-      .Add(LabelsOf(label, value))
-      .Set(number);
+  auto& gauge = gauges_[name];
+  if (gauge.family == nullptr) {
+    gauge.family =
+        &prometheus::BuildGauge().Name("kcm_" + name).Register(registry_);
+  }
+  Find(gauge, label, value).Set(number);
+}
+
+auto Metrics::OnScrape(Sampler sampler) -> void {
+  samplers_.push_back(std::move(sampler));
+}
+
+auto Metrics::CounterOf(const std::string& name,
+                        const std::string& label,
+                        const std::string& value) -> prometheus::Counter& {
+  auto& counter = counters_[name];
+  if (counter.family == nullptr) {
+    counter.family = &prometheus::BuildCounter()
+                          .Name("kcm_" + name + "_total")
+                          .Register(registry_);
+  }
+  return Find(counter, label, value);
+}
+
+template <typename Series>
+auto Metrics::Find(Family<Series>& family,
+                   const std::string& label,
+                   const std::string& value) -> Series& {
+  const auto known = family.series.find(value);
+  if (known != family.series.end()) {
+    return *known->second;
+  }
+  const auto bounded =
+      family.series.size() < kMaxSeriesPerFamily ? value : "other";
+  auto& series = family.family->Add(LabelsOf(label, bounded));
+  family.series.emplace(bounded, &series);
+  return series;
+}
+
+auto Metrics::Serialize() -> std::string {
+  for (const auto& sampler : samplers_) {
+    sampler();
+  }
+  const prometheus::TextSerializer serializer;
+  return serializer.Serialize(registry_.Collect());
 }
 
 }  // namespace kcm::node
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -3,6 +3,8 @@
 #include <array>
 #include <utility>
 
+#include "LibNode/node_samples.h"
+
 namespace kcm::node {
 
 namespace {
@@ -79,6 +81,7 @@
       }
     }
   }
+  SampleOnScrape(*node);
   return node;
 }
 
