--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -37,6 +37,7 @@
   kRequestRetried = 410,
   kRequestUnknown = 411,
   kEndpointEjected = 412,
+  kEndpointLeaving = 413,
 };
 
 /// Severity of a log event.
--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -39,8 +39,9 @@
 
 auto Metrics::Count(const std::string& name,
                     const std::string& label,
-                    const std::string& value) -> void {
-  CounterOf(name, label, value).Increment();
+                    const std::string& value,
+                    double increment) -> void {
+  CounterOf(name, label, value).Increment(increment);
 }
 
 auto Metrics::SetTotal(const std::string& name,
