--- a/Libraries/LibPlatform/http_minion_port.cc
+++ b/Libraries/LibPlatform/http_minion_port.cc
@@ -42,15 +42,15 @@
 auto HttpMinionPort::Send(const core::Address& minion,
                           const MinionRequest& request,
                           Done done) -> void {
-  net::HttpRequest outgoing{"POST",
-                            "/v1/work",
-                            {},
-                            {{"x-request-id", request.hop_id},
-                             {"x-account", request.account},
-                             {"x-deadline-ms",
-                              std::to_string(request.timeout_ms)},
-                             {"content-type", request.content_type}},
-                            request.body};
+  net::HttpRequest outgoing{
+      "POST",
+      "/v1/work",
+      {},
+      {{"x-request-id", request.hop_id},
+       {"x-account", request.account},
+       {"x-deadline-ms", std::to_string(request.timeout_ms)},
+       {"content-type", request.content_type}},
+      request.body};
   if (!request.idempotency_key.empty()) {
     outgoing.headers["idempotency-key"] = request.idempotency_key;
   }
