kcm-load: Add an open-loop load tool and the proofs under overload

A slot now stays taken for twice the mean service time after its attempt was given up, and a request that cannot end in time is no longer started while others wait.

--- a/Libraries/LibRequest/router.cc
+++ b/Libraries/LibRequest/router.cc
@@ -15,6 +15,8 @@
 /// A minion that said it is leaving is tried again after this span.
 constexpr core::Millis kLeavingSpan = 60000;
 constexpr int kOtherRegion = 2;
+constexpr core::Millis kLeastOverrun = 100;
+constexpr double kOverrunFactor = 2;
 
 }  // namespace
 
@@ -66,10 +68,16 @@
   return minion.listed && !minion.view.leaving && now >= minion.leaving_until;
 }
 
+auto Router::FreeBy(const RouteQuery& query) const -> core::Millis {
+  // A minion may work on after the attempt was given up.
+  return query.until + kLeastOverrun +
+         static_cast<core::Millis>(kOverrunFactor * service_time_.mean());
+}
+
 auto Router::IsCandidate(const Minion& minion, const RouteQuery& query) const
     -> bool {
   if (!Accepts(minion, query.now) || query.avoid.contains(minion.view.id) ||
-      ledger_.Available(minion.resource, query.now, query.until) == 0) {
+      ledger_.Available(minion.resource, query.now, FreeBy(query)) == 0) {
     return false;
   }
   if (!RowOf(settings_.strategy).heeds_health) {
@@ -93,13 +101,13 @@
     return std::nullopt;
   }
   auto& chosen = *(this->*RowOf(settings_.strategy).choose)(candidates);
-  const auto slot = ledger_.Acquire(chosen.resource, query.now, query.until);
+  const auto slot = ledger_.Acquire(chosen.resource, query.now, FreeBy(query));
   KCM_CHECK(slot.has_value());
   chosen.health.OnSent(query.now);
   ++chosen.in_flight;
   ++in_flight_;
-  return Route{chosen.view.id, *slot, DistanceTo(chosen) == kOtherRegion,
-               query.now, query.until};
+  return Route{chosen.view.id, *slot,       DistanceTo(chosen) == kOtherRegion,
+               query.now,      query.until, FreeBy(query)};
 }
 
 auto Router::ChooseLeastLoaded(const std::vector<Minion*>& candidates)
@@ -158,10 +166,9 @@
   End(route, now, now).health.OnRefused(now);
 }
 
-auto Router::OnFailed(const Route& route,
-                      core::Millis now,
-                      core::Millis free_at) -> void {
-  End(route, now, free_at).health.OnFailed(now);
+auto Router::OnFailed(const Route& route, core::Millis now, bool may_run)
+    -> void {
+  End(route, now, may_run ? route.free_by : now).health.OnFailed(now);
 }
 
 auto Router::MarkLeaving(const std::string& minion, core::Millis now) -> bool {
--- a/Libraries/LibRequest/router.h
+++ b/Libraries/LibRequest/router.h
@@ -28,7 +28,7 @@
   /// Minions that this request has tried already.
   const std::set<std::string>& avoid;
   core::Millis now = 0;
-  /// Time by which the attempt has ended.
+  /// Time at which the attempt is given up.
   core::Millis until = 0;
   bool idempotent = true;
   /// Whether a minion of another region may be chosen.
@@ -41,8 +41,10 @@
   ShareUse slot;
   bool crosses_regions = false;
   core::Millis sent_at = 0;
-  /// Time by which the attempt has ended.
+  /// Time at which the attempt is given up.
   core::Millis until = 0;
+  /// Time by which the minion has ended it, given up or not.
+  core::Millis free_by = 0;
 };
 
 /// Chooses minions for requests and watches their health; pure state without
@@ -61,9 +63,8 @@
   /// Notes how an attempt ended and gives its slot back.
   auto OnAnswered(const Route& route, core::Millis now) -> void;
   auto OnRefused(const Route& route, core::Millis now) -> void;
-  /// @param free_at time until which the slot may still be in use.
-  auto OnFailed(const Route& route, core::Millis now, core::Millis free_at)
-      -> void;
+  /// @param may_run whether the minion may still work on it.
+  auto OnFailed(const Route& route, core::Millis now, bool may_run) -> void;
 
   /// Gives a minion no more requests, whatever the list says.
   /// @return whether it took requests before.
@@ -114,6 +115,7 @@
       -> bool;
   [[nodiscard]] auto IsCandidate(const Minion& minion,
                                  const RouteQuery& query) const -> bool;
+  [[nodiscard]] auto FreeBy(const RouteQuery& query) const -> core::Millis;
   [[nodiscard]] auto DistanceTo(const Minion& minion) const -> int;
   [[nodiscard]] auto MayEjectOneMore(core::Millis now) const -> bool;
   auto UpdateTypical(core::Millis now) -> void;
--- a/Services/Gateway/request_api.cc
+++ b/Services/Gateway/request_api.cc
@@ -201,8 +201,11 @@
     return;
   }
   const auto now = core::MonotonicNow();
+  // Nobody else is kept waiting by a lone request that may still make it.
   const auto least =
-      static_cast<core::Millis>(router_.service_time() / 2) + kAnswerMargin;
+      kAnswerMargin + (queue_.size() > 1
+                           ? static_cast<core::Millis>(router_.service_time())
+                           : 0);
   for (const auto& waiting : queue_.TakeLate(now + least)) {
     Fail(open_.at(waiting.id), core::ErrorKind::kTooLate,
          "No slot came free in time for the deadline.");
@@ -299,11 +302,10 @@
       return;
     case platform::MinionOutcome::kNeverSent:
     case platform::MinionOutcome::kFailed:
-      router_.OnFailed(route, now, now);
+      router_.OnFailed(route, now, false);
       return;
     case platform::MinionOutcome::kUnknown:
-      // The minion may work on it until the time it was given.
-      router_.OnFailed(route, now, route.until);
+      router_.OnFailed(route, now, true);
       return;
   }
 }
--- a/Tests/System/cluster.py
+++ b/Tests/System/cluster.py
@@ -141,10 +141,11 @@
 class Cluster:
     """All processes of one installation; a context manager."""
 
-    def __init__(self, build, topology=None, proxy=False, network=None):
+    def __init__(self, build, topology=None, proxy=False, network=None, gateway_settings=None):
         self.build = pathlib.Path(build).resolve()
         self.topology = topology or small_glintwater()
         self.proxied = proxy
+        self.gateway_settings = gateway_settings or {}  # more keys of [gateway]
         self.holder = None
         if network is None:
             network, self.holder = reserve_network()
@@ -210,6 +211,8 @@
             f'metrics = "{ip}:{METRICS_PORTS["gateway"]}"',
             f'operator_token_sha256 = "{sha256(OPERATOR_TOKEN)}"',
         ]
+        for key, value in self.gateway_settings.items():
+            lines.append(f"{key} = {json.dumps(value)}")
         for role in ("scheduler", "relay"):
             lines += [
                 "",
@@ -427,6 +430,24 @@
             headers.update({"X-Idempotent": "false", "Idempotency-Key": key})
         return self.account(entry, account, "POST", "/v1/requests", body, headers, timeout)
 
+    def start_load(self, targets, account, rate, seconds, deadline_ms=1000, **more):
+        """Starts the load tool; `read_load` gives its report."""
+        arguments = {
+            "targets": ",".join(targets),
+            "token": token_of(account),
+            "rate": rate,
+            "seconds": seconds,
+            "deadline-ms": deadline_ms,
+            **{name.replace("_", "-"): value for name, value in more.items()},
+        }
+        command = [str(self.build / "kcm-load")]
+        command += [f"--{name}={value}" for name, value in arguments.items()]
+        return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+    def read_load(self, process):
+        output, _ = process.communicate()
+        return json.loads(output)
+
     def submit(self, entry, account, job):
         return self.account(entry, account, "POST", "/v1/jobs", job)
 
--- /dev/null
+++ b/Utilities/kcm-load/load_report.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibCore/json.h"
+
+namespace kcm::load {
+
+/// What came of the load.
+class LoadReport {
+ public:
+  /// Notes the end of one request.
+  /// @param conclusion the answer's conclusion, or "no_answer".
+  /// @param latency_us span since the intended time of sending.
+  /// @param in_time whether the answer met the request's deadline.
+  auto Add(const std::string& conclusion, std::int64_t latency_us, bool in_time)
+      -> void;
+
+  /// @return counts by conclusion, goodput and percentiles of the requests
+  ///     done, in milliseconds.
+  [[nodiscard]] auto ToJson(double seconds) const -> core::Json;
+
+ private:
+  std::map<std::string, std::int64_t> counts_;
+  std::int64_t done_in_time_ = 0;
+  std::vector<std::int64_t> done_us_;
+};
+
+}  // namespace kcm::load
