LibSchedule: Bound the wait of a large gang under small jobs

Change: the reservation goes by accelerators times wait and may displace one of a gang four times smaller; a job that failed somewhere is tried elsewhere first, so that bad workers and bad jobs can be told apart. Ruled out: one reservation an account, which an overload of small jobs takes as well.

--- a/Libraries/LibSchedule/failure_tracker.cc
+++ b/Libraries/LibSchedule/failure_tracker.cc
@@ -10,8 +10,18 @@
 /// Healthy workers on which a job must fail to be quarantined.
 constexpr std::size_t kWorkersToQuarantine = 3;
 
+/// Failures after which a job is quarantined wherever they happened.
+constexpr int kAttemptsToQuarantine = 6;
+
 }  // namespace
 
+auto FailureTracker::TriedBy(const std::string& job) const
+    -> const std::set<std::string>& {
+  static const std::set<std::string> kNone;
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? kNone : found->second;
+}
+
 auto FailureTracker::IsBad(const std::string& worker) const -> bool {
   const auto found = workers_.find(worker);
   if (found == workers_.end() || found->second.size() < kJobsToCordon) {
@@ -50,7 +60,8 @@
   for (const auto& other : tried) {
     healthy += IsBad(other) ? 0 : 1;
   }
-  if (healthy >= kWorkersToQuarantine) {
+  if (healthy >= kWorkersToQuarantine ||
+      ++attempts_[job] >= kAttemptsToQuarantine) {
     finding.bad_job = job;
   }
   return finding;
--- a/Libraries/LibSchedule/failure_tracker.h
+++ b/Libraries/LibSchedule/failure_tracker.h
@@ -24,11 +24,18 @@
                             const std::string& account,
                             const std::string& worker) -> Finding;
 
+  /// @return workers on which the job failed.
+  [[nodiscard]] auto TriedBy(const std::string& job) const
+      -> const std::set<std::string>&;
+
   /// A job ran well on a worker; clears the worker of earlier failures.
   auto Succeeded(const std::string& worker) -> void { workers_.erase(worker); }
 
   /// Forgets a job that will not run again.
-  auto ForgetJob(const std::string& job) -> void { jobs_.erase(job); }
+  auto ForgetJob(const std::string& job) -> void {
+    jobs_.erase(job);
+    attempts_.erase(job);
+  }
 
   /// Forgets the failures of a worker that was put back into service.
   auto ForgetWorker(const std::string& worker) -> void {
@@ -43,6 +50,8 @@
 
   std::unordered_map<std::string, Failures> workers_;
   std::unordered_map<std::string, std::set<std::string>> jobs_;
+  /// Failed attempts by job.
+  std::unordered_map<std::string, int> attempts_;
 };
 
 }  // namespace kcm::schedule
--- a/Libraries/LibSchedule/open_pass.cc
+++ b/Libraries/LibSchedule/open_pass.cc
@@ -94,8 +94,8 @@
     blocked_.insert(key);
     return false;
   }
-  const auto& view = firm ? state_->model.open : state_->model.free;
-  auto seats = view.Find(job.job_class.shape);
+  auto& view = firm ? state_->model.open : state_->model.free;
+  auto seats = state_->FindRoom(view, job);
   if (!seats) {
     no_room_.insert(shape_key);
     blocked_.insert(key);
--- a/Libraries/LibSchedule/planner_state.cc
+++ b/Libraries/LibSchedule/planner_state.cc
@@ -49,6 +49,26 @@
   waiting.Erase(stored.id);
 }
 
+auto PlannerState::FindRoom(CapacityView& view, const WaitingJob& job) const
+    -> std::optional<Seats> {
+  const auto& tried = failures.TriedBy(job.id);
+  if (tried.empty()) {
+    return view.Find(job.job_class.shape);
+  }
+  std::vector<std::pair<WorkerIndex, Capacity>> hidden;
+  for (const auto& id : tried) {
+    if (const auto worker = model.table.Find(id)) {
+      hidden.emplace_back(*worker, view.free(*worker));
+      view.Set(*worker, {});
+    }
+  }
+  auto seats = view.Find(job.job_class.shape);
+  for (const auto& [worker, free] : hidden) {
+    view.Set(worker, free);
+  }
+  return seats ? seats : view.Find(job.job_class.shape);
+}
+
 auto PlannerState::Membership(const Gang& gang) const
     -> std::vector<state::Member> {
   std::vector<state::Member> members;
--- a/Libraries/LibSchedule/planner_state.h
+++ b/Libraries/LibSchedule/planner_state.h
@@ -30,6 +30,11 @@
              GuaranteeUnit* unit,
              Seats seats) -> void;
 
+  /// Finds room in a view, if there is some on workers where the job has not
+  /// failed yet, else anywhere.
+  [[nodiscard]] auto FindRoom(CapacityView& view, const WaitingJob& job) const
+      -> std::optional<Seats>;
+
   /// Keeps seats for a waiting job; a unit is charged already.
   auto AddHold(Hold hold) -> void;
   /// Gives up the room; the job goes on waiting.
--- a/Libraries/LibSchedule/reservation_pass.cc
+++ b/Libraries/LibSchedule/reservation_pass.cc
@@ -13,6 +13,9 @@
 /// the room idle.
 constexpr core::Millis kBackfillMargin = 2;
 
+/// How many times larger a gang must be to take over a reservation.
+constexpr std::int64_t kDisplacingSize = 4;
+
 auto ShareOn(const Gang& gang, WorkerIndex worker) -> Capacity {
   Capacity share;
   for (const auto& seat : gang.seats) {
@@ -110,9 +113,9 @@
   }
 }
 
-auto ReservationPass::LongestWaiting(const OpenPass::Blocked& blocked)
+auto ReservationPass::MostStarved(const OpenPass::Blocked& blocked)
     -> WaitingJob* {
-  WaitingJob* longest = nullptr;
+  WaitingJob* starved = nullptr;
   for (const auto& [account, job_class] : blocked) {
     const auto classes = state_->waiting.accounts().find(account);
     if (classes == state_->waiting.accounts().end()) {
@@ -127,30 +130,60 @@
       if (state_->holds.contains(id)) {
         continue;
       }
-      if (longest == nullptr || job->since < longest->since) {
-        longest = job;
+      if (state_->now - job->since < state_->settings.reserve_after_ms) {
+        break;
+      }
+      if (starved == nullptr || UrgencyOf(*job) > UrgencyOf(*starved)) {
+        starved = job;
       }
       break;
     }
   }
-  return longest;
+  return starved;
 }
 
 auto ReservationPass::Reserve(const OpenPass::Blocked& blocked) -> void {
   auto open =
       std::count_if(state_->holds.begin(), state_->holds.end(),
                     [](const auto& entry) { return entry.second.reservation; });
-  while (open < state_->settings.max_reservations) {
-    auto* job = LongestWaiting(blocked);
-    if (job == nullptr ||
-        state_->now - job->since < state_->settings.reserve_after_ms ||
-        !state_->WithinLimits(*job) || !Open(*job)) {
+  for (;;) {
+    auto* job = MostStarved(blocked);
+    if (job == nullptr || !state_->WithinLimits(*job)) {
+      return;
+    }
+    if (open >= state_->settings.max_reservations) {
+      if (!Displace(*job)) {
+        return;
+      }
+      --open;
+    }
+    if (!Open(*job)) {
       return;
     }
     ++open;
   }
 }
 
+auto ReservationPass::UrgencyOf(const WaitingJob& job) const -> std::int64_t {
+  return (state_->now - job.since) *
+         std::max<std::int64_t>(state::TotalAccelerators(job.job_class.shape),
+                                1);
+}
+
+auto ReservationPass::Displace(const WaitingJob& job) -> bool {
+  for (const auto& [id, hold] : state_->holds) {
+    const auto* holder = state_->waiting.Find(id);
+    if (hold.reservation && holder != nullptr &&
+        state::TotalAccelerators(hold.shape) * kDisplacingSize <=
+            state::TotalAccelerators(job.job_class.shape) &&
+        UrgencyOf(*holder) < UrgencyOf(job)) {
+      state_->CancelHold(std::string(id));
+      return true;
+    }
+  }
+  return false;
+}
+
 auto ReservationPass::Open(WaitingJob& job) -> bool {
   const auto standing = state_->StandingOf(job);
   if (standing == Standing::kFirm && !state_->ledger.IsWhole()) {
