LibSchedule: Hand out preemptions that waited for a placement

Cause: a gang chosen as a victim while it assembled was marked as preempting, but its PreemptGang was dropped by the next Plan(), so the reclaim waited for the natural end of the victim. Change: Plan() adds to the actions that stand there already.

--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "LibSchedule/explain.h"
@@ -248,7 +249,11 @@
   if (state_->rebuild) {
     state_->Rebuild();
   }
-  state_->actions = std::exchange(pending_, {});
+  // Preemptions that waited for a placement may stand there already.
+  auto& actions = state_->actions;
+  actions.insert(actions.end(), std::make_move_iterator(pending_.begin()),
+                 std::make_move_iterator(pending_.end()));
+  pending_.clear();
   ReservationPass reservations(*state_);
   reservations.FinishHolds();
   GuaranteedPass(*state_).Run();
--- a/Tests/LibSchedule/cell_history.h
+++ b/Tests/LibSchedule/cell_history.h
@@ -80,6 +80,7 @@
   /// Plans and records the actions; placements are confirmed when asked for.
   auto Plan(bool confirm = true) -> std::vector<Action> {
     auto actions = planner.Plan(now);
+    asked_ = true;
     for (const auto& action : actions) {
       if (const auto* place = std::get_if<PlaceGang>(&action)) {
         twice |= !attempts.insert({place->job, place->attempt}).second;
@@ -105,6 +106,7 @@
     job.attempt = assembling[id].attempt;
     job.members = assembling[id].members;
     job.status = state::JobStatus::kPlaced;
+    asked_ = false;
     assembling.erase(id);
     running.insert(id);
     planner.JobPlaced(job, now);
@@ -148,6 +150,12 @@
     if (twice) {
       return "an action was given twice";
     }
+    for (const auto& [id, gang] : planner.state().gangs) {
+      if (asked_ && gang.preempting && gang.placed &&
+          !preempting.contains(id)) {
+        return id + " is to be preempted, but nobody was told";
+      }
+    }
     if (const auto broken = CheckReclaimable(planner.state())) {
       return *broken;
     }
@@ -164,6 +172,10 @@
   std::set<std::string> cordoned;
   std::set<std::pair<std::string, std::int64_t>> attempts;
   bool twice = false;
+
+ private:
+  /// Plan() was called since the last confirmation.
+  bool asked_ = false;
 };
 
 }  // namespace kcm::schedule
--- /dev/null
+++ b/Utilities/kcm-bench/simulation.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "strategy.h"
+#include "workload.h"
+
+namespace kcm::bench {
+
+/// What one run of a strategy gave.
+struct Outcome {
+  /// Completion times in seconds by class; "all" has every job.
+  std::map<std::string, std::vector<double>> completion_s;
+  /// Seconds from submission to the first start of guaranteed gangs.
+  std::vector<double> owed_wait_s;
+  /// Seconds from the first preemption for a gang to its start.
+  std::vector<double> reclaim_s;
+  /// Share of free accelerators that the largest waiting gang cannot use.
+  double unusable_of_free = 0;
+  /// The same accelerators as a share of the fleet.
+  double stranded = 0;
+  /// Useful work over capacity until the last arrival.
+  double utilisation = 0;
+  std::int64_t preemptions = 0;
+};
+
+/// Plays the arrivals against a strategy on a virtual clock.
+[[nodiscard]] auto Simulate(const Workload& workload, Strategy& strategy)
+    -> Outcome;
+
+[[nodiscard]] auto Mean(const std::vector<double>& values) -> double;
+[[nodiscard]] auto Percentile(std::vector<double> values, double share)
+    -> double;
+
+}  // namespace kcm::bench
--- /dev/null
+++ b/Utilities/kcm-bench/strategy.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibSchedule/action.h"
+#include "LibState/job.h"
+#include "workload.h"
+
+namespace kcm::bench {
+
+/// A placement policy under test.
+class Strategy {
+ public:
+  Strategy() = default;
+  Strategy(const Strategy&) = delete;
+  auto operator=(const Strategy&) -> Strategy& = delete;
+  virtual ~Strategy() = default;
+
+  virtual auto Waiting(const state::Job& job, core::Millis now) -> void = 0;
+  virtual auto Placed(const state::Job& job, core::Millis now) -> void = 0;
+  virtual auto Ended(const state::Job& job, core::Millis now) -> void = 0;
+  virtual auto Plan(core::Millis now) -> std::vector<schedule::Action> = 0;
+};
+
+/// Names of the strategies, the project's own first.
+[[nodiscard]] auto StrategyNames() -> const std::vector<std::string>&;
+
+[[nodiscard]] auto MakeStrategy(const std::string& name,
+                                const Workload& workload)
+    -> std::unique_ptr<Strategy>;
+
+}  // namespace kcm::bench
