LibSchedule: Keep reservations when an urgent job finds no room

Cause: an urgent job that found nothing to preempt cancelled the reservations on every pass, so two gangs took turns draining different racks; a preempted gang counted its run as wait and took the next reservation.

--- a/Libraries/LibSchedule/open_pass.cc
+++ b/Libraries/LibSchedule/open_pass.cc
@@ -110,7 +110,6 @@
   if (standing == Standing::kFirm && !state_->ledger.IsWhole()) {
     return false;
   }
-  state_->CancelReservations();
   auto& model = state_->model;
   EvictionRequest request;
   request.shape = job.job_class.shape;
@@ -127,6 +126,10 @@
   };
   const auto& view = standing == Standing::kFirm ? model.firm : model.whole;
   auto plan = CheapestEviction(model, view, request);
+  if (!plan) {
+    state_->CancelReservations();
+    plan = CheapestEviction(model, view, request);
+  }
   if (!plan) {
     return false;
   }
--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -163,7 +163,8 @@
   waiting.since = now;
   if (const auto gang = state_->gangs.find(job.id);
       gang != state_->gangs.end()) {
-    waiting.since = gang->second.since;
+    // The time that the gang ran is no wait.
+    waiting.since = gang->second.since + (now - gang->second.started);
     state_->RemoveGang(job.id);
   }
   if (state_->model.table.rack_count() > 0 &&
