--- a/Libraries/LibSchedule/open_pass.cc
+++ b/Libraries/LibSchedule/open_pass.cc
@@ -94,8 +94,8 @@
     blocked_.insert(key);
     return false;
   }
-  const auto& view = firm ? state_->model.open : state_->model.free;
-  auto seats = view.Find(job.job_class.shape);
+  auto& view = firm ? state_->model.open : state_->model.free;
+  auto seats = state_->FindRoom(view, job);
   if (!seats) {
     no_room_.insert(shape_key);
     blocked_.insert(key);
@@ -110,7 +110,6 @@
   if (standing == Standing::kFirm && !state_->ledger.IsWhole()) {
     return false;
   }
-  state_->CancelReservations();
   auto& model = state_->model;
   EvictionRequest request;
   request.shape = job.job_class.shape;
@@ -127,6 +126,10 @@
   };
   const auto& view = standing == Standing::kFirm ? model.firm : model.whole;
   auto plan = CheapestEviction(model, view, request);
+  if (!plan) {
+    state_->CancelReservations();
+    plan = CheapestEviction(model, view, request);
+  }
   if (!plan) {
     return false;
   }
