Services: Let operators see all processes, cordon workers and follow a request

An operator could edit rows and read one gateway's view; nothing showed the other processes, workers or minions, and no worker could be taken out of use.

- GET /v1/processes asks every process over the bus for its table version, offsets and terms; it costs nothing while nobody asks.
A periodic report to all gateways was ruled out: it grows with the square of the VMs.
- Traces: the gateway goes on with a traceparent, or starts a sampled trace, with spans for gateway, queue and minion, posted as OTLP's JSON form.
- Pages for operators; a test runs each example of API.md and keeps events, settings and metrics equal to the code.

The cordon test first spared the worker that an empty fleet gives anyway and passed with the check taken out; it spares another one now and failed so. The pages' test was seen failing with an event's row and a setting's text changed. Jobs have the gateway's span only; placement and start have none yet.

--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -88,6 +88,7 @@
   /// Null once answered or once libevhtp has freed the request.
   evhtp_request_t* request = nullptr;
   std::shared_ptr<int> pending;
+  std::function<void(const HttpAnswer&)> listener;
   std::shared_ptr<bool> closing;
 
   State(evhtp_request_t* open_request,
@@ -120,7 +121,15 @@
 
 }  // namespace
 
+auto HttpReply::OnAnswered(
+    std::function<void(const HttpAnswer&)> listener) const -> void {
+  state_->listener = std::move(listener);
+}
+
 auto HttpReply::Send(const HttpAnswer& answer) const -> void {
+  if (const auto listener = std::exchange(state_->listener, nullptr)) {
+    listener(answer);
+  }
   if (state_->request == nullptr) {
     return;
   }
--- a/Libraries/LibNet/http_server.h
+++ b/Libraries/LibNet/http_server.h
@@ -24,6 +24,11 @@
   /// Sends the answer, unless one was sent before or the caller has left.
   auto Send(const HttpAnswer& answer) const -> void;
 
+  /// Calls `listener` once with the answer that is sent; an answer that finds
+  /// its caller gone is told too.
+  auto OnAnswered(std::function<void(const HttpAnswer&)> listener) const
+      -> void;
+
   /// Sends a JSON document with a status.
   auto SendJson(int status, const core::Json& document) const -> void;
 
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibNode/node_samples.h"
+#include "LibNode/status_answer.h"
 
 namespace kcm::node {
 
@@ -57,7 +58,11 @@
       log_(NamesOf(settings_.data_centres)),
       log_client_(http_, settings_.platform_log),
       vm_list_(http_, settings_.platform_vms),
-      writer_(loop_, log_, log_client_, BusNameOf(settings_.name, role)) {}
+      writer_(loop_, log_, log_client_, BusNameOf(settings_.name, role)),
+      tracer_(loop_,
+              http_,
+              {BusNameOf(settings_.name, role), settings_.trace_collector,
+               settings_.trace_ratio}) {}
 
 auto Node::create(NodeSettings settings, Role role, core::Reason& reason)
     -> std::unique_ptr<Node> {
@@ -82,6 +87,7 @@
     }
   }
   SampleOnScrape(*node);
+  AnswerStatus(*node);
   return node;
 }
 
--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -11,6 +11,7 @@
 #include "LibNode/log_writer.h"
 #include "LibNode/metrics.h"
 #include "LibNode/node_settings.h"
+#include "LibNode/tracer.h"
 #include "LibPlatform/http_log_client.h"
 #include "LibPlatform/http_vm_list.h"
 
@@ -50,6 +51,7 @@
   [[nodiscard]] auto writer() -> LogWriter& { return writer_; }
   [[nodiscard]] auto vm_list() -> platform::VmList& { return vm_list_; }
   [[nodiscard]] auto metrics() -> Metrics& { return *metrics_; }
+  [[nodiscard]] auto tracer() -> Tracer& { return tracer_; }
 
   /// @return bus names of one role on the other entry VMs.
   /// @param region only VMs of this region; empty for all.
@@ -72,6 +74,7 @@
   platform::HttpLogClient log_client_;
   platform::HttpVmList vm_list_;
   LogWriter writer_;
+  Tracer tracer_;
 };
 
 }  // namespace kcm::node
--- a/Libraries/LibNode/node_samples.cc
+++ b/Libraries/LibNode/node_samples.cc
@@ -68,6 +68,8 @@
                 stream);
   }
   metrics.Set("table_version", static_cast<double>(world.table().version()));
+  metrics.SetTotal("trace_spans_dropped",
+                   static_cast<double>(node.tracer().dropped()));
   metrics.SetTotal("log_appends", static_cast<double>(node.writer().appends()));
 }
 
--- a/Libraries/LibNode/node_settings.cc
+++ b/Libraries/LibNode/node_settings.cc
@@ -26,6 +26,12 @@
     core::Field<NodeSettings>{"node.drain_timeout_ms",
                               &NodeSettings::drain_timeout_ms, false, 0, 6e5,
                               "longest wait for open requests at SIGTERM"},
+    core::Field<NodeSettings>{"node.trace_collector",
+                              &NodeSettings::trace_collector, false, 1, 65535,
+                              "collector of OTLP over HTTP"},
+    core::Field<NodeSettings>{"node.trace_ratio", &NodeSettings::trace_ratio,
+                              false, 0, 1,
+                              "share of the traces begun here to sample"},
     core::Field<NodeSettings>{"gateway.http", &NodeSettings::gateway_http, true,
                               1, 65535, "address for callers"},
     core::Field<NodeSettings>{"gateway.bus", &NodeSettings::gateway_bus, true,
@@ -195,6 +201,14 @@
   return kNodeFields;
 }
 
+auto PeerFields() -> std::span<const core::Field<PeerSettings>> {
+  return kPeerFields;
+}
+
+auto DataCentreFields() -> std::span<const core::Field<DataCentreSettings>> {
+  return kDataCentreFields;
+}
+
 auto LoadNodeSettings(const std::string& path, core::Reason& reason)
     -> std::optional<NodeSettings> {
   toml::table file;
--- a/Libraries/LibNode/node_settings.h
+++ b/Libraries/LibNode/node_settings.h
@@ -33,6 +33,8 @@
   std::string data_centre;
   std::string region;
   bool json_logs = false;
+  core::Address trace_collector;
+  double trace_ratio = 0;
   core::Address gateway_http;
   core::Address gateway_bus;
   core::Address gateway_metrics;
@@ -61,6 +63,13 @@
 /// The table that checks the settings; names are "section.key".
 [[nodiscard]] auto NodeFields() -> std::span<const core::Field<NodeSettings>>;
 
+/// The table that checks each [[peer]].
+[[nodiscard]] auto PeerFields() -> std::span<const core::Field<PeerSettings>>;
+
+/// The table that checks each [[data_centre]].
+[[nodiscard]] auto DataCentreFields()
+    -> std::span<const core::Field<DataCentreSettings>>;
+
 /// Reads and checks a settings file whole.
 /// @return the settings, or nothing with `reason` naming file, line, key, the
 ///     value and what is allowed.
--- a/Libraries/LibNode/service.cc
+++ b/Libraries/LibNode/service.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "LibCore/event.h"
+#include "LibNode/settings_reference.h"
 
 #ifndef KCM_VERSION
 #define KCM_VERSION "0.1.0"
@@ -30,8 +31,9 @@
       name, "The " + std::string(NameOf(role)) + " of one entry VM.");
   options.add_options()("config", "settings file in TOML",
                         cxxopts::value<std::string>())(
-      "check", "check the settings and leave")("version", "print the version")(
-      "help", "print this text");
+      "check", "check the settings and leave")(
+      "settings-reference", "print the page on all settings")(
+      "version", "print the version")("help", "print this text");
   CommandLine line;
   try {
     const auto parsed = options.parse(argc, argv);
@@ -41,6 +43,9 @@
     } else if (parsed.count("version") != 0) {
       std::cout << name << " " << KCM_VERSION << "\n";
       line.exit_code = 0;
+    } else if (parsed.count("settings-reference") != 0) {
+      std::cout << SettingsReference();
+      line.exit_code = 0;
     } else if (parsed.count("config") == 0) {
       std::cerr << name << ": --config FILE.toml is missing.\n";
       line.exit_code = kExitUsage;
--- /dev/null
+++ b/Libraries/LibNode/status_answer.cc
@@ -0,0 +1,36 @@
+#include "LibNode/status_answer.h"
+
+#include "LibNode/node.h"
+
+namespace kcm::node {
+
+namespace {
+
+auto StatusOf(Node& node) -> core::Json {
+  const auto& world = node.log().world();
+  core::Json offsets = core::Json::object();
+  for (const auto& stream : world.streams()) {
+    offsets[stream] = node.log().NextOffset(stream);
+  }
+  core::Json schedules = core::Json::array();
+  for (const auto& data_centre : node.DataCentresOf("")) {
+    if (world.FindCell(data_centre)->term().holder == node.self()) {
+      schedules.push_back(data_centre);
+    }
+  }
+  return {{"table_version", world.table().version()},
+          {"next_offsets", offsets},
+          {"schedules", schedules}};
+}
+
+}  // namespace
+
+auto AnswerStatus(Node& node) -> void {
+  node.bus().OnMessage("status_ask", [&node](const net::BusMessage& message) {
+    auto answer = StatusOf(node);
+    answer["ask"] = message.body.at("ask");
+    node.bus().Send(message.from, "status_answer", answer);
+  });
+}
+
+}  // namespace kcm::node
--- /dev/null
+++ b/Libraries/LibNode/tracer.cc
@@ -0,0 +1,73 @@
+#include "LibNode/tracer.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace kcm::node {
+
+namespace {
+
+constexpr core::Millis kFlushPeriod = 250;
+constexpr core::Millis kCollectorTimeout = 2000;
+constexpr std::size_t kMaxQueue = 4096;
+constexpr std::size_t kMaxBatch = 512;
+constexpr int kHttpOk = 200;
+
+}  // namespace
+
+Tracer::Tracer(net::EventLoop& loop,
+               net::HttpClient& http,
+               TracerSettings settings)
+    : http_(http), settings_(std::move(settings)) {
+  if (settings_.collector.port != 0) {
+    loop.Every(kFlushPeriod, [this] { Flush(); });
+  }
+}
+
+auto Tracer::Enter(const std::string& header, std::string& parent_span_id) const
+    -> core::TraceContext {
+  if (const auto parent = core::ParseTraceparent(header)) {
+    parent_span_id = parent->span_id;
+    return core::ChildOf(*parent);
+  }
+  parent_span_id.clear();
+  return core::NewTrace(settings_.ratio);
+}
+
+auto Tracer::Record(core::Span span) -> void {
+  if (!span.context.sampled || settings_.collector.port == 0) {
+    return;
+  }
+  if (queue_.size() >= kMaxQueue) {
+    ++dropped_;
+    return;
+  }
+  queue_.push_back(std::move(span));
+}
+
+auto Tracer::Flush() -> void {
+  if (queue_.empty() || in_flight_) {
+    return;
+  }
+  const auto count = std::min(queue_.size(), kMaxBatch);
+  const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
+  const std::vector<core::Span> batch(queue_.begin(), end);
+  queue_.erase(queue_.begin(), end);
+  in_flight_ = true;
+  const net::HttpRequest request{"POST",
+                                 "/v1/traces",
+                                 {},
+                                 {{"content-type", "application/json"}},
+                                 core::ToOtlp(settings_.process, batch).dump()};
+  http_.Send(settings_.collector, request, kCollectorTimeout,
+             [this, count](const net::HttpResult& result) {
+               in_flight_ = false;
+               if (result.exchange != net::Exchange::kAnswered ||
+                   result.answer.status != kHttpOk) {
+                 dropped_ += count;
+               }
+             });
+}
+
+}  // namespace kcm::node
--- a/Libraries/LibState/record.h
+++ b/Libraries/LibState/record.h
@@ -25,6 +25,7 @@
   kIntentRecorded,
   kIntentResolved,
   kSnapshot,
+  kWorkerCordoned,
 };
 
 /// One record of a stream.
@@ -45,7 +46,7 @@
 template <>
 struct kcm::core::EnumNames<kcm::state::RecordKind> {
   using Enum = kcm::state::RecordKind;
-  static constexpr std::array<EnumName<Enum>, 12> kRows = {{
+  static constexpr std::array<EnumName<Enum>, 13> kRows = {{
       {Enum::kUnknown, "unknown"},
       {Enum::kFleetRecorded, "fleet_recorded"},
       {Enum::kRowEdited, "row_edited"},
@@ -58,6 +59,7 @@
       {Enum::kIntentRecorded, "intent_recorded"},
       {Enum::kIntentResolved, "intent_resolved"},
       {Enum::kSnapshot, "snapshot"},
+      {Enum::kWorkerCordoned, "worker_cordoned"},
   }};
 };
 
--- a/Libraries/LibState/table_fold.cc
+++ b/Libraries/LibState/table_fold.cc
@@ -1,5 +1,6 @@
 #include "LibState/table_fold.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibState/guarantee_check.h"
@@ -32,6 +33,8 @@
       return DecideRow(record);
     case RecordKind::kFleetRecorded:
       return DecideFleet(record);
+    case RecordKind::kWorkerCordoned:
+      return DecideCordon(record);
     default:
       return Verdict::Accept();
   }
@@ -76,9 +79,30 @@
   return Verdict::Accept();
 }
 
+auto TableFold::DecideCordon(const Record& record) -> Verdict {
+  auto cordon = record.body.get<Cordon>();
+  const auto& workers = fleet_.workers;
+  const bool known = std::any_of(
+      workers.begin(), workers.end(),
+      [&](const auto& worker) { return worker.id == cordon.worker; });
+  if (cordon.cordoned && !known) {
+    return Verdict::Reject(
+        core::ErrorKind::kNotFound, "worker",
+        "The fleet has no worker \"" + cordon.worker + "\" on record.");
+  }
+  cordon.at = record.at;
+  if (cordon.cordoned) {
+    cordons_[cordon.worker] = std::move(cordon);
+  } else {
+    cordons_.erase(cordon.worker);
+  }
+  return Verdict::Accept();
+}
+
 auto TableFold::StateToJson() const -> core::Json {
   return {{"rows", rows_},
           {"fleet", fleet_},
+          {"cordons", cordons_},
           {"history", history_},
           {"version", version_}};
 }
@@ -86,6 +110,7 @@
 auto TableFold::StateFromJson(const core::Json& document) -> void {
   document.at("rows").get_to(rows_);
   document.at("fleet").get_to(fleet_);
+  cordons_ = document.value("cordons", std::map<std::string, Cordon>{});
   document.at("history").get_to(history_);
   document.at("version").get_to(version_);
 }
--- a/Libraries/LibState/table_fold.h
+++ b/Libraries/LibState/table_fold.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "LibState/cordon.h"
 #include "LibState/fleet.h"
 #include "LibState/fold.h"
 #include "LibState/row.h"
@@ -35,6 +36,11 @@
   /// @return number of accepted edits since the table began.
   [[nodiscard]] auto version() const -> std::int64_t { return version_; }
 
+  /// @return cordoned workers by id.
+  [[nodiscard]] auto cordons() const -> const std::map<std::string, Cordon>& {
+    return cordons_;
+  }
+
   /// @return the row of an account, or null.
   [[nodiscard]] auto FindRow(const std::string& account) const -> const Row*;
 
@@ -49,9 +55,11 @@
  private:
   auto DecideRow(const Record& record) -> Verdict;
   auto DecideFleet(const Record& record) -> Verdict;
+  auto DecideCordon(const Record& record) -> Verdict;
 
   std::map<std::string, Row> rows_;
   Fleet fleet_;
+  std::map<std::string, Cordon> cordons_;
   std::deque<RowChange> history_;
   std::int64_t version_ = 0;
 };
--- a/Services/Gateway/gateway_service.cc
+++ b/Services/Gateway/gateway_service.cc
@@ -5,6 +5,8 @@
 #include <span>
 #include <utility>
 
+#include "LibCore/nearest.h"
+#include "LibNode/hop_span.h"
 #include "LibNode/relay_choice.h"
 
 namespace kcm::gateway {
@@ -71,10 +73,30 @@
       Route{"GET", "/v1/fleet", Access::kOperator, &GatewayService::ShowFleet},
       Route{"PUT", "/v1/fleet", Access::kOperator,
             &GatewayService::RecordFleet},
+      Route{"GET", "/v1/processes", Access::kOperator,
+            &GatewayService::ShowProcesses},
+      Route{"GET", "/v1/workers", Access::kOperator,
+            &GatewayService::ListWorkers},
+      Route{"POST", "/v1/workers/*/cordon", Access::kOperator,
+            &GatewayService::Cordon},
+      Route{"POST", "/v1/workers/*/uncordon", Access::kOperator,
+            &GatewayService::Uncordon},
+      Route{"GET", "/v1/minions", Access::kOperator,
+            &GatewayService::ListMinions},
   };
   return kRoutes;
 }
 
+auto GatewayService::NearestCall(const net::HttpRequest& request)
+    -> std::string {
+  std::vector<std::string> known;
+  for (const auto& route : Routes()) {
+    known.push_back(std::string(route.method) + " " +
+                    std::string(route.pattern));
+  }
+  return core::DidYouMean(request.method + " " + request.path, known);
+}
+
 auto GatewayService::create(node::Node& node, core::Reason& reason)
     -> std::unique_ptr<node::Service> {
   auto service = std::make_unique<GatewayService>(node);
@@ -97,12 +119,28 @@
                 node.log(),
                 node::PreferOwnRelay(node)),
       table_(node),
+      fleet_(node),
+      status_(node),
       jobs_(node),
       requests_(node) {}
 
+auto GatewayService::TraceCall(ApiCall& call) -> void {
+  const auto span = std::make_shared<node::HopSpan>(
+      node_.tracer(), call.request.header("traceparent"),
+      "gateway " + call.request.method);
+  span->Set("http.path", call.request.path);
+  // What comes after this hop continues from its span.
+  call.request.headers["traceparent"] = span->traceparent();
+  call.reply.OnAnswered([span](const net::HttpAnswer& answer) {
+    span->Set("http.status", std::to_string(answer.status));
+    span->End();
+  });
+}
+
 auto GatewayService::OnRequest(net::HttpRequest request, net::HttpReply reply)
     -> void {
   ApiCall call{std::move(request), std::move(reply), {}, {}};
+  TraceCall(call);
   const Route* found = nullptr;
   for (const auto& route : Routes()) {
     if (route.method != call.request.method) {
@@ -117,7 +155,7 @@
   if (found == nullptr) {
     Refuse(call, core::ErrorKind::kNotFound, "path",
            "There is no call " + call.request.method + " " + call.request.path +
-               ".");
+               "." + NearestCall(call.request));
     return;
   }
   if (found->access != Access::kAnyone) {
--- a/Services/Gateway/gateway_service.h
+++ b/Services/Gateway/gateway_service.h
@@ -7,8 +7,10 @@
 #include "LibNode/log_follower.h"
 #include "LibNode/service.h"
 #include "api_call.h"
+#include "fleet_api.h"
 #include "job_api.h"
 #include "request_api.h"
+#include "status_api.h"
 #include "table_api.h"
 
 namespace kcm::gateway {
@@ -27,6 +29,9 @@
   struct Route;
 
   static auto Routes() -> std::span<const Route>;
+  static auto NearestCall(const net::HttpRequest& request) -> std::string;
+  /// Begins the span of this hop and ends it with the answer.
+  auto TraceCall(ApiCall& call) -> void;
   auto OnRequest(net::HttpRequest request, net::HttpReply reply) -> void;
   auto ShowHealth(const ApiCall& call) -> void;
   auto ShowStatus(const ApiCall& call) -> void;
@@ -42,10 +47,20 @@
   auto ShowFleet(const ApiCall& call) -> void { table_.ShowFleet(call); }
   auto RecordFleet(const ApiCall& call) -> void { table_.RecordFleet(call); }
 
+  auto ListWorkers(const ApiCall& call) -> void { fleet_.ListWorkers(call); }
+  auto Cordon(const ApiCall& call) -> void { fleet_.Cordon(call); }
+  auto Uncordon(const ApiCall& call) -> void { fleet_.Uncordon(call); }
+  auto ListMinions(const ApiCall& call) -> void { fleet_.ListMinions(call); }
+  auto ShowProcesses(const ApiCall& call) -> void {
+    status_.ShowProcesses(call);
+  }
+
   node::Node& node_;
   node::Heartbeats heartbeats_;
   node::LogFollower follower_;
   TableApi table_;
+  FleetApi fleet_;
+  StatusApi status_;
   JobApi jobs_;
   RequestApi requests_;
   std::unique_ptr<net::HttpServer> server_;
--- a/Services/Gateway/open_request.h
+++ b/Services/Gateway/open_request.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <memory>
 #include <set>
 #include <string>
 
 #include "LibCore/error_kind.h"
+#include "LibNode/hop_span.h"
 #include "LibRequest/share_ledger.h"
 #include "api_call.h"
 
@@ -27,6 +29,8 @@
   std::string intent_stream;
   int attempts = 0;
   std::set<std::string> tried;
+  /// Wait for a slot; null while none is awaited.
+  std::shared_ptr<node::HopSpan> queue_span;
   /// Unit of the account's concurrency while the request runs.
   std::optional<request::ShareUse> concurrency;
   /// The worst that former attempts may have done: a later refusal must not
--- a/Services/Gateway/request_api.cc
+++ b/Services/Gateway/request_api.cc
@@ -190,6 +190,8 @@
 }
 
 auto RequestApi::Enqueue(const OpenPtr& open) -> void {
+  open->queue_span = std::make_shared<node::HopSpan>(
+      node_.tracer(), open->call.request.header("traceparent"), "queue");
   const auto* row = node_.log().world().table().FindRow(open->account());
   queue_.Push({open->id, open->account(), row == nullptr ? 1 : row->weight,
                open->deadline});
@@ -273,15 +275,21 @@
   outgoing.hop_id = core::MakeId("hop");
   outgoing.account = open->account();
   outgoing.idempotency_key = open->key;
-  outgoing.traceparent = request.header("traceparent");
+  open->queue_span->End();
+  const auto span = std::make_shared<node::HopSpan>(
+      node_.tracer(), request.header("traceparent"), "minion");
+  span->Set("minion", route.minion);
+  outgoing.traceparent = span->traceparent();
   outgoing.content_type = request.header("content-type");
   outgoing.body = request.body;
   outgoing.timeout_ms = std::max<core::Millis>(route.until - now, 1);
   node_.metrics().Count("attempts_sent");
-  minions_.Send(watch_.AddressOf(route.minion), outgoing,
-                [this, open, route](const platform::MinionResult& result) {
-                  OnResult(open, route, result);
-                });
+  minions_.Send(
+      watch_.AddressOf(route.minion), outgoing,
+      [this, open, route, span](const platform::MinionResult& result) {
+        span->End();
+        OnResult(open, route, result);
+      });
 }
 
 auto RequestApi::NoteHealth(const request::Route& route,
--- a/Services/Scheduler/worker_directory.cc
+++ b/Services/Scheduler/worker_directory.cc
@@ -21,7 +21,8 @@
 }
 
 auto WorkerDirectory::IsUsable(const std::string& worker) const -> bool {
-  return usable_.contains(worker);
+  return usable_.contains(worker) &&
+         !node_.log().world().table().cordons().contains(worker);
 }
 
 auto WorkerDirectory::Poll() -> void {
--- /dev/null
+++ b/Tests/System/operations_trace_test.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""Follows one request through every hop by its trace."""
+
+import http.server
+import json
+import pathlib
+import sys
+import threading
+import unittest
+
+import cluster as testing
+
+BUILD = pathlib.Path(sys.argv.pop(1) if len(sys.argv) > 1 else "Build").resolve()
+TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
+CALLER_SPAN = "00f067aa0ba902b7"
+
+
+class Collector:
+    """Keeps the spans that are posted as OTLP's JSON form."""
+
+    def __init__(self, host, port):
+        self.spans = []
+        collector = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                for resource in body["resourceSpans"]:
+                    service = resource["resource"]["attributes"][0]["value"]["stringValue"]
+                    for scope in resource["scopeSpans"]:
+                        collector.spans += [{**span, "service": service} for span in scope["spans"]]
+                self.send_response(200)
+                self.send_header("Content-Length", "2")
+                self.end_headers()
+                self.wfile.write(b"{}")
+
+            def log_message(self, *_):
+                pass
+
+        self.server = http.server.ThreadingHTTPServer((host, port), Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def of(self, trace):
+        return {span["name"]: span for span in self.spans if span["traceId"] == trace}
+
+
+class TracedCluster(testing.Cluster):
+    def settings_of(self, entry):
+        setting = f'trace_collector = "{self.network}.150:4318"'
+        return super().settings_of(entry).replace("[node]", f"[node]\n{setting}", 1)
+
+
+class Traces(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.system = TracedCluster(BUILD)
+        cls.addClassCleanup(cls.system.stop)
+        cls.collector = Collector(f"{cls.system.network}.150", 4318)
+        cls.addClassCleanup(cls.collector.stop)
+        cls.system.start()
+        cls.system.set_up_accounts()
+
+    def send(self, trace, flags, body):
+        headers = {"traceparent": f"00-{trace}-{CALLER_SPAN}-{flags}"}
+        answer = self.system.account(
+            "entry-1", "council", "POST", "/v1/requests", body, headers
+        )
+        self.assertEqual(answer.status, 200, answer.body)
+
+    def test_a_request_has_a_span_for_each_hop(self):
+        self.send(TRACE, "01", "lamp 1")
+        spans = testing.wait_until(
+            lambda: len(self.collector.of(TRACE)) == 3 and self.collector.of(TRACE),
+            "gateway, queue and minion",
+        )
+        gateway, queue, minion = spans["gateway POST"], spans["queue"], spans["minion"]
+        self.assertEqual(gateway["parentSpanId"], CALLER_SPAN)
+        self.assertEqual(gateway["service"], "entry-1/gateway")
+        self.assertEqual(queue["parentSpanId"], gateway["spanId"])
+        self.assertEqual(minion["parentSpanId"], gateway["spanId"])
+        times = [
+            int(time)
+            for time in (
+                gateway["startTimeUnixNano"],
+                queue["startTimeUnixNano"],
+                queue["endTimeUnixNano"],
+                minion["startTimeUnixNano"],
+                minion["endTimeUnixNano"],
+                gateway["endTimeUnixNano"],
+            )
+        ]
+        self.assertEqual(times, sorted(times))
+
+    def test_a_trace_that_is_not_sampled_leaves_no_span(self):
+        silent, loud = "a" * 32, "b" * 32
+        self.send(silent, "00", "lamp 2")
+        self.send(loud, "01", "lamp 3")
+        testing.wait_until(lambda: len(self.collector.of(loud)) == 3, "the sampled trace")
+        self.assertEqual(self.collector.of(silent), {})
+
+
+class SilentCollector(unittest.TestCase):
+    def test_it_stops_no_request(self):
+        with TracedCluster(BUILD) as system:
+            system.set_up_accounts()
+            headers = {"traceparent": f"00-{TRACE}-{CALLER_SPAN}-01"}
+            for number in range(20):
+                body = f"lamp {number}"
+                answer = system.account(
+                    "entry-1", "council", "POST", "/v1/requests", body, headers
+                )
+                self.assertEqual(answer.status, 200, answer.body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/Utilities/kcm/commands.cc
+++ b/Utilities/kcm/commands.cc
@@ -218,6 +218,40 @@
   return ShowCall(invocation, Get("/v1/status"), RenderStatus);
 }
 
+auto ProcessList(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/processes"), RenderProcesses);
+}
+
+auto WorkerList(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/workers"), RenderWorkers);
+}
+
+auto ChangeCordon(Invocation& invocation, const std::string& verb) -> ExitCode {
+  if (invocation.arguments.empty()) {
+    std::cerr << "kcm: worker " << verb << " needs WORKER.\n";
+    return ExitCode::kUsage;
+  }
+  core::Json body = core::Json::object();
+  if (invocation.arguments.size() > 1) {
+    body["reason"] = invocation.arguments[1];
+  }
+  const auto path = "/v1/workers/" + invocation.arguments.front() + "/" + verb;
+  return ShowCall(invocation, {"POST", path, {}, {}, body.dump()},
+                  RenderCordon);
+}
+
+auto WorkerCordon(Invocation& invocation) -> ExitCode {
+  return ChangeCordon(invocation, "cordon");
+}
+
+auto WorkerUncordon(Invocation& invocation) -> ExitCode {
+  return ChangeCordon(invocation, "uncordon");
+}
+
+auto MinionList(Invocation& invocation) -> ExitCode {
+  return ShowCall(invocation, Get("/v1/minions"), RenderMinions);
+}
+
 constexpr std::array kCommands = {
     Command{"table", "show", "", "shows all rows", TableShow},
     Command{"table", "set", "ACCOUNT COLUMN=VALUE...", "edits one row",
@@ -233,6 +267,14 @@
     Command{"request", "send", "BODY [KEY]",
             "sends a request; with a key it runs at most once", RequestSend},
     Command{"status", "show", "", "shows the gateway's view", StatusShow},
+    Command{"process", "list", "",
+            "shows lag, table version and terms of all processes", ProcessList},
+    Command{"worker", "list", "", "shows workers, cordons and jobs",
+            WorkerList},
+    Command{"worker", "cordon", "WORKER [REASON]",
+            "keeps new gangs off a worker", WorkerCordon},
+    Command{"worker", "uncordon", "WORKER", "lifts a cordon", WorkerUncordon},
+    Command{"minion", "list", "", "shows the minions", MinionList},
 };
 
 }  // namespace
--- a/Utilities/kcm/main.cc
+++ b/Utilities/kcm/main.cc
@@ -1,6 +1,8 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
+#include <map>
 #include <optional>
 
 #include "LibCore/nearest.h"
@@ -11,9 +13,12 @@
 namespace {
 
 auto PrintHelp(std::ostream& out) -> void {
-  out << "Usage: kcm [--gateway IP:PORT] [--token TOKEN] [--json] GROUP VERB "
-         "[ARGUMENT...]\n\nThe token may stand in KCM_TOKEN, the gateway in "
-         "KCM_GATEWAY.\n\n";
+  out << "Usage: kcm [--gateway IP:PORT] [--token TOKEN | --token-file FILE] "
+         "[--json] GROUP "
+         "VERB [ARGUMENT...]\n\nThe token may stand in KCM_TOKEN, the gateway "
+         "in "
+         "KCM_GATEWAY.\n\nkcm completion bash prints a completion for "
+         "bash.\n\n";
   for (const auto& command : Commands()) {
     out << "  " << command.group << " " << command.verb << " "
         << command.arguments << "\n      " << command.description << "\n";
@@ -25,6 +30,44 @@
   return value == nullptr ? fallback : value;
 }
 
+/// Writes a completion of groups and verbs for bash.
+auto PrintBashCompletion(std::ostream& out) -> void {
+  std::map<std::string_view, std::string> verbs;
+  for (const auto& command : Commands()) {
+    verbs[command.group] += " " + std::string(command.verb);
+  }
+  std::string groups;
+  std::string cases;
+  for (const auto& [group, words] : verbs) {
+    groups += " " + std::string(group);
+    cases += "    " + std::string(group) + ") words=\"" + words.substr(1) +
+             "\" ;;\n";
+  }
+  out << "_kcm() {\n  local words=\"" << groups.substr(1)
+      << "\"\n  case ${COMP_WORDS[COMP_CWORD-1]} in\n"
+      << cases
+      << "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- "
+         "\"${COMP_WORDS[COMP_CWORD]}\"))\n}\ncomplete -F _kcm kcm\n";
+}
+
+/// @return the token, or nothing after the unreadable file was reported.
+auto TokenOf(const cxxopts::ParseResult& parsed) -> std::optional<std::string> {
+  if (parsed.count("token") != 0) {
+    return parsed["token"].as<std::string>();
+  }
+  if (parsed.count("token-file") == 0) {
+    return FromEnvironment("KCM_TOKEN", "");
+  }
+  const auto path = parsed["token-file"].as<std::string>();
+  std::ifstream file(path);
+  std::string token;
+  if (!std::getline(file, token)) {
+    std::cerr << "kcm: cannot read a token from " << path << ".\n";
+    return std::nullopt;
+  }
+  return token;
+}
+
 auto FindCommand(const std::vector<std::string>& words) -> const Command* {
   if (words.size() < 2) {
     PrintHelp(std::cerr);
@@ -48,8 +91,9 @@
   cxxopts::Options options("kcm", "Command line of kingcupmast.");
   options.add_options()("gateway", "IP:PORT", cxxopts::value<std::string>())(
       "token", "bearer token", cxxopts::value<std::string>())(
-      "json", "print documents")("help", "print this text")(
-      "version", "print the version")(
+      "token-file", "file with the bearer token",
+      cxxopts::value<std::string>())("json", "print documents")(
+      "help", "print this text")("version", "print the version")(
       "words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional("words");
   const auto parsed = options.parse(argc, argv);
@@ -64,6 +108,10 @@
   auto words = parsed.count("words") == 0
                    ? std::vector<std::string>{}
                    : parsed["words"].as<std::vector<std::string>>();
+  if (words == std::vector<std::string>{"completion", "bash"}) {
+    PrintBashCompletion(std::cout);
+    return ExitCode::kDone;
+  }
   const auto* command = FindCommand(words);
   if (command == nullptr) {
     return ExitCode::kUsage;
@@ -77,9 +125,11 @@
     std::cerr << "kcm: " << reason.message << "\n";
     return ExitCode::kUsage;
   }
-  ApiClient client(*address, parsed.count("token") != 0
-                                 ? parsed["token"].as<std::string>()
-                                 : FromEnvironment("KCM_TOKEN", ""));
+  const auto token = TokenOf(parsed);
+  if (!token) {
+    return ExitCode::kUsage;
+  }
+  ApiClient client(*address, *token);
   words.erase(words.begin(), words.begin() + 2);
   Invocation invocation{client, parsed.count("json") != 0, std::move(words)};
   return command->run(invocation);
--- a/Utilities/kcm/render.cc
+++ b/Utilities/kcm/render.cc
@@ -121,6 +121,39 @@
   return text.str();
 }
 
+/// Writes a list of objects as a table with these columns.
+auto RenderList(const core::Json& list, const Cells& columns) -> std::string {
+  std::vector<Cells> rows = {columns};
+  for (const auto& object : list) {
+    rows.push_back(CellsOf(object, columns));
+  }
+  return Align(rows);
+}
+
+auto RenderProcesses(const core::Json& document) -> std::string {
+  return "table version " + document.at("table_version").dump() + "\n" +
+         RenderList(document.at("processes"),
+                    {"name", "answered", "table_version", "in_force",
+                     "records_behind", "schedules"});
+}
+
+auto RenderWorkers(const core::Json& document) -> std::string {
+  return RenderList(document.at("workers"),
+                    {"id", "data_centre", "rack", "accelerators", "cordoned",
+                     "reason", "jobs"});
+}
+
+auto RenderCordon(const core::Json& document) -> std::string {
+  return TextOf(document.at("worker")) + (document.at("cordoned").get<bool>()
+                                              ? " is cordoned\n"
+                                              : " is not cordoned\n");
+}
+
+auto RenderMinions(const core::Json& document) -> std::string {
+  return RenderList(document.at("minions"),
+                    {"id", "data_centre", "address", "leaving"});
+}
+
 auto RenderStatus(const core::Json& status) -> std::string {
   std::ostringstream text;
   text << TextOf(status.at("node")) << ": table version "
--- a/Utilities/kcm/render.h
+++ b/Utilities/kcm/render.h
@@ -15,6 +15,10 @@
 auto RenderCancelled(const core::Json& document) -> std::string;
 auto RenderJobs(const core::Json& document) -> std::string;
 auto RenderJob(const core::Json& job) -> std::string;
+auto RenderProcesses(const core::Json& document) -> std::string;
+auto RenderWorkers(const core::Json& document) -> std::string;
+auto RenderCordon(const core::Json& document) -> std::string;
+auto RenderMinions(const core::Json& document) -> std::string;
 auto RenderStatus(const core::Json& status) -> std::string;
 
 }  // namespace kcm::cli
