--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -12,6 +12,7 @@
 #include "LibNode/log_writer.h"
 #include "LibNode/metrics.h"
 #include "LibNode/node_settings.h"
+#include "LibNode/tracer.h"
 #include "LibPlatform/http_log_client.h"
 #include "LibPlatform/http_vm_list.h"
 
@@ -52,6 +53,7 @@
   [[nodiscard]] auto vm_list() -> platform::VmList& { return vm_list_; }
   [[nodiscard]] auto in_force() -> InForce& { return *in_force_; }
   [[nodiscard]] auto metrics() -> Metrics& { return *metrics_; }
+  [[nodiscard]] auto tracer() -> Tracer& { return tracer_; }
 
   /// @return bus names of one role on the other entry VMs.
   /// @param region only VMs of this region; empty for all.
@@ -75,6 +77,7 @@
   platform::HttpVmList vm_list_;
   LogWriter writer_;
   std::unique_ptr<InForce> in_force_;
+  Tracer tracer_;
 };
 
 }  // namespace kcm::node
--- a/Services/Gateway/request_api.cc
+++ b/Services/Gateway/request_api.cc
@@ -190,6 +190,8 @@
 }
 
 auto RequestApi::Enqueue(const OpenPtr& open) -> void {
+  open->queue_span = std::make_shared<node::HopSpan>(
+      node_.tracer(), open->call.request.header("traceparent"), "queue");
   const auto* row = node_.log().world().table().FindRow(open->account());
   queue_.Push({open->id, open->account(), row == nullptr ? 1 : row->weight,
                open->deadline});
@@ -201,8 +203,11 @@
     return;
   }
   const auto now = core::MonotonicNow();
+  // Nobody else is kept waiting by a lone request that may still make it.
   const auto least =
-      static_cast<core::Millis>(router_.service_time() / 2) + kAnswerMargin;
+      kAnswerMargin + (queue_.size() > 1
+                           ? static_cast<core::Millis>(router_.service_time())
+                           : 0);
   for (const auto& waiting : queue_.TakeLate(now + least)) {
     Fail(open_.at(waiting.id), core::ErrorKind::kTooLate,
          "No slot came free in time for the deadline.");
@@ -273,15 +278,21 @@
   outgoing.hop_id = core::MakeId("hop");
   outgoing.account = open->account();
   outgoing.idempotency_key = open->key;
-  outgoing.traceparent = request.header("traceparent");
+  open->queue_span->End();
+  const auto span = std::make_shared<node::HopSpan>(
+      node_.tracer(), request.header("traceparent"), "minion");
+  span->Set("minion", route.minion);
+  outgoing.traceparent = span->traceparent();
   outgoing.content_type = request.header("content-type");
   outgoing.body = request.body;
   outgoing.timeout_ms = std::max<core::Millis>(route.until - now, 1);
   node_.metrics().Count("attempts_sent");
-  minions_.Send(watch_.AddressOf(route.minion), outgoing,
-                [this, open, route](const platform::MinionResult& result) {
-                  OnResult(open, route, result);
-                });
+  minions_.Send(
+      watch_.AddressOf(route.minion), outgoing,
+      [this, open, route, span](const platform::MinionResult& result) {
+        span->End();
+        OnResult(open, route, result);
+      });
 }
 
 auto RequestApi::NoteHealth(const request::Route& route,
@@ -299,11 +310,10 @@
       return;
     case platform::MinionOutcome::kNeverSent:
     case platform::MinionOutcome::kFailed:
-      router_.OnFailed(route, now, now);
+      router_.OnFailed(route, now, false);
       return;
     case platform::MinionOutcome::kUnknown:
-      // The minion may work on it until the time it was given.
-      router_.OnFailed(route, now, route.until);
+      router_.OnFailed(route, now, true);
       return;
   }
 }
