kcm: Keep words with commas whole and show guarantees

A try of the pages by hand stopped at the first guarantee: the command line library splits a positional option at its commas, so that a row's guarantees could not be set, and `request send "a, b"` sent "a" with the key " b". Words are now taken unsplit. The table shows each guarantee. The test was seen failing before the change.

--- a/Tests/System/operations_kcm_test.py
+++ b/Tests/System/operations_kcm_test.py
@@ -110,6 +110,20 @@
             self.kcm("worker", "uncordon", worker["id"])
         self.system.wait_job("entry-1", "council", pair, ("done",))
 
+    def test_words_with_commas_stay_whole(self):
+        guarantee = {
+            "data_centre": "hobart-a",
+            "count": 1,
+            "shape": {"members": 2, "accelerators": 8},
+        }
+        result = self.kcm("table", "set", "council", "guarantees=" + json.dumps([guarantee]))
+        self.assertEqual(result.returncode, 0, result.stderr)
+        self.assertIn("hobart-a 1 of 2x8", result.stdout)
+        self.kcm("table", "set", "council", "guarantees=[]")
+        token = testing.token_of("council")
+        result = self.kcm("request", "send", "lamp 1, lamp 2", token=token)
+        self.assertTrue(result.stdout.endswith("council: lamp 1, lamp 2\n"), result.stdout)
+
     def test_a_token_file_serves_as_the_token(self):
         with tempfile.NamedTemporaryFile("w") as file:
             file.write(testing.OPERATOR_TOKEN + "\n")
--- a/Utilities/kcm/main.cc
+++ b/Utilities/kcm/main.cc
@@ -93,9 +93,7 @@
       "token", "bearer token", cxxopts::value<std::string>())(
       "token-file", "file with the bearer token",
       cxxopts::value<std::string>())("json", "print documents")(
-      "help", "print this text")("version", "print the version")(
-      "words", "", cxxopts::value<std::vector<std::string>>());
-  options.parse_positional("words");
+      "help", "print this text")("version", "print the version");
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     PrintHelp(std::cout);
@@ -105,9 +103,8 @@
     std::cout << "kcm 0.1.0\n";
     return ExitCode::kDone;
   }
-  auto words = parsed.count("words") == 0
-                   ? std::vector<std::string>{}
-                   : parsed["words"].as<std::vector<std::string>>();
+  // A positional option would split each word at its commas.
+  auto words = parsed.unmatched();
   if (words == std::vector<std::string>{"completion", "bash"}) {
     PrintBashCompletion(std::cout);
     return ExitCode::kDone;
--- a/Utilities/kcm/render.cc
+++ b/Utilities/kcm/render.cc
@@ -47,20 +47,38 @@
 
 const Cells kRowColumns = {"account",      "version",     "weight",
                            "rate_per_s",   "concurrency", "queue",
-                           "accelerators", "may_borrow"};
+                           "accelerators", "may_borrow",  "guarantees"};
+
+/// Writes guarantees such as "hobart-a 1 of 2x8".
+auto TextOfGuarantees(const core::Json& guarantees) -> std::string {
+  std::string text;
+  for (const auto& guarantee : guarantees) {
+    const auto& shape = guarantee.at("shape");
+    text += (text.empty() ? "" : ", ") + TextOf(guarantee.at("data_centre")) +
+            " " + guarantee.at("count").dump() + " of " +
+            shape.at("members").dump() + "x" + shape.at("accelerators").dump();
+  }
+  return text.empty() ? "-" : text;
+}
+
+auto CellsOfRow(const core::Json& row) -> Cells {
+  auto cells = CellsOf(row, kRowColumns);
+  cells.back() = TextOfGuarantees(row.at("guarantees"));
+  return cells;
+}
 
 }  // namespace
 
 auto RenderTable(const core::Json& document) -> std::string {
   std::vector<Cells> rows = {kRowColumns};
   for (const auto& row : document.at("rows")) {
-    rows.push_back(CellsOf(row, kRowColumns));
+    rows.push_back(CellsOfRow(row));
   }
   return "table version " + document.at("version").dump() + "\n" + Align(rows);
 }
 
 auto RenderRow(const core::Json& row) -> std::string {
-  return Align({kRowColumns, CellsOf(row, kRowColumns)});
+  return Align({kRowColumns, CellsOfRow(row)});
 }
 
 auto RenderHistory(const core::Json& document) -> std::string {
