--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "LibSchedule/explain.h"
@@ -162,7 +163,8 @@
   waiting.since = now;
   if (const auto gang = state_->gangs.find(job.id);
       gang != state_->gangs.end()) {
-    waiting.since = gang->second.since;
+    // The time that the gang ran is no wait.
+    waiting.since = gang->second.since + (now - gang->second.started);
     state_->RemoveGang(job.id);
   }
   if (state_->model.table.rack_count() > 0 &&
@@ -248,7 +250,11 @@
   if (state_->rebuild) {
     state_->Rebuild();
   }
-  state_->actions = std::exchange(pending_, {});
+  // Preemptions that waited for a placement may stand there already.
+  auto& actions = state_->actions;
+  actions.insert(actions.end(), std::make_move_iterator(pending_.begin()),
+                 std::make_move_iterator(pending_.end()));
+  pending_.clear();
   ReservationPass reservations(*state_);
   reservations.FinishHolds();
   GuaranteedPass(*state_).Run();
