--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -76,8 +76,8 @@
   platform::HttpLogClient log_client_;
   platform::HttpVmList vm_list_;
   LogWriter writer_;
-  std::unique_ptr<InForce> in_force_;
   Tracer tracer_;
+  std::unique_ptr<InForce> in_force_;
 };
 
 }  // namespace kcm::node
