--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -7,6 +7,7 @@
 #include "LibNet/bus.h"
 #include "LibNet/event_loop.h"
 #include "LibNet/http_client.h"
+#include "LibNode/in_force.h"
 #include "LibNode/log_state.h"
 #include "LibNode/log_writer.h"
 #include "LibNode/metrics.h"
@@ -50,6 +51,7 @@
   }
   [[nodiscard]] auto writer() -> LogWriter& { return writer_; }
   [[nodiscard]] auto vm_list() -> platform::VmList& { return vm_list_; }
+  [[nodiscard]] auto in_force() -> InForce& { return *in_force_; }
   [[nodiscard]] auto metrics() -> Metrics& { return *metrics_; }
   [[nodiscard]] auto tracer() -> Tracer& { return tracer_; }
 
@@ -75,6 +77,7 @@
   platform::HttpVmList vm_list_;
   LogWriter writer_;
   Tracer tracer_;
+  std::unique_ptr<InForce> in_force_;
 };
 
 }  // namespace kcm::node
