--- a/Libraries/LibSchedule/failure_tracker.cc
+++ b/Libraries/LibSchedule/failure_tracker.cc
@@ -17,9 +17,9 @@
 
 auto FailureTracker::TriedBy(const std::string& job) const
     -> const std::set<std::string>& {
-  static const std::set<std::string> kNone;
+  static const std::set<std::string> none;
   const auto found = jobs_.find(job);
-  return found == jobs_.end() ? kNone : found->second;
+  return found == jobs_.end() ? none : found->second;
 }
 
 auto FailureTracker::IsBad(const std::string& worker) const -> bool {
--- a/Libraries/LibSchedule/open_pass.cc
+++ b/Libraries/LibSchedule/open_pass.cc
@@ -32,6 +32,7 @@
 auto OpenPass::RunUrgent() -> void {
   const auto& accounts = state_->waiting.accounts();
   std::vector<std::string> names;
+  names.reserve(accounts.size());
   for (const auto& [account, classes] : accounts) {
     names.push_back(account);
   }
--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -19,7 +19,7 @@
 /// completion time counts.
 constexpr double kRunTimeStretch = 4;
 /// Longest run time that the queue order looks at.
-constexpr core::Millis kMaxRankedRun = 4 * 3600 * 1000;
+constexpr core::Millis kMaxRankedRun = 14400000;
 /// Wait that a doubling of a gang's size is worth when only fragmentation
 /// counts.
 constexpr double kSizeBonusMs = 600000;
--- a/Tests/LibSchedule/planner_test.cc
+++ b/Tests/LibSchedule/planner_test.cc
@@ -107,8 +107,10 @@
   cell.Submit("a", "parks", ShapeOf(1, 8), Recovery::kCheckpointable);
   cell.Submit("b", "parks", ShapeOf(1, 8), Recovery::kCheckpointable);
   cell.Plan();
-  cell.Submit("urgent-1", "council", ShapeOf(1, 8), Recovery::kNone, 1000, true);
-  cell.Submit("urgent-2", "council", ShapeOf(1, 8), Recovery::kNone, 1000, true);
+  cell.Submit("urgent-1", "council", ShapeOf(1, 8), Recovery::kNone, 1000,
+              true);
+  cell.Submit("urgent-2", "council", ShapeOf(1, 8), Recovery::kNone, 1000,
+              true);
   cell.Plan();
   ASSERT_EQ(cell.preempting.size(), 1U);
   cell.Requeue(std::string(*cell.preempting.begin()));
