--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -27,6 +27,11 @@
     EventInfo{Event::kReaderTakenOver, "reader_taken_over", Severity::kInfo},
     EventInfo{Event::kFollowGap, "follow_gap", Severity::kWarning},
     EventInfo{Event::kRecordRejected, "record_rejected", Severity::kWarning},
+    EventInfo{Event::kRecoveryStarted, "recovery_started", Severity::kWarning},
+    EventInfo{Event::kStreamRecovered, "stream_recovered", Severity::kInfo},
+    EventInfo{Event::kSnapshotPublished, "snapshot_published", Severity::kInfo},
+    EventInfo{Event::kRelayReady, "relay_ready", Severity::kInfo},
+    EventInfo{Event::kFoldDiffers, "fold_differs", Severity::kError},
     EventInfo{Event::kTermClaimed, "term_claimed", Severity::kInfo},
     EventInfo{Event::kTermLost, "term_lost", Severity::kWarning},
     EventInfo{Event::kJobPlaced, "job_placed", Severity::kInfo},
@@ -45,6 +50,7 @@
     EventInfo{Event::kRequestRetried, "request_retried", Severity::kInfo},
     EventInfo{Event::kRequestUnknown, "request_unknown", Severity::kWarning},
     EventInfo{Event::kEndpointEjected, "endpoint_ejected", Severity::kWarning},
+    EventInfo{Event::kEndpointLeaving, "endpoint_leaving", Severity::kInfo},
 };
 
 struct LogOutput {
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -21,6 +21,11 @@
   kReaderTakenOver = 212,
   kFollowGap = 213,
   kRecordRejected = 214,
+  kRecoveryStarted = 215,
+  kStreamRecovered = 216,
+  kSnapshotPublished = 217,
+  kRelayReady = 218,
+  kFoldDiffers = 219,
   kTermClaimed = 300,
   kTermLost = 301,
   kJobPlaced = 310,
@@ -38,6 +43,7 @@
   kRequestRetried = 410,
   kRequestUnknown = 411,
   kEndpointEjected = 412,
+  kEndpointLeaving = 413,
 };
 
 /// Severity of a log event.
--- a/Libraries/LibNode/node_settings.h
+++ b/Libraries/LibNode/node_settings.h
@@ -41,6 +41,8 @@
   core::Address scheduler_metrics;
   core::Address relay_bus;
   core::Address relay_metrics;
+  std::int64_t snapshot_records = 1000;
+  std::int64_t snapshot_interval_ms = 600000;
   core::Address platform_log;
   core::Address platform_vms;
   std::int64_t drain_timeout_ms = 30000;
@@ -49,6 +51,12 @@
   std::int64_t lease_ttl_ms = 5000;
   std::int64_t reclaim_bound_ms = 10000;
   double fragmentation_weight = 0.3;
+  /// Bytes a second of requests and answers between regions, all gateways.
+  std::int64_t link_bytes_per_s = 1000000;
+  /// One of the names of request::RoutingStrategy.
+  std::string routing = "least_loaded";
+  /// One of the names of request::QueueOrder.
+  std::string queue_order = "first_in";
   std::vector<PeerSettings> peers;
   std::vector<DataCentreSettings> data_centres;
 };
