--- /dev/null
+++ b/Tests/System/reclaim_test.py
@@ -0,0 +1,130 @@
+"""A lent guaranteed shape comes back within its bound, whatever fails."""
+
+import signal
+import time
+import unittest
+
+import cluster as testing
+import gang_protocol_test as gangs
+
+BUILD = gangs.BUILD
+# scheduler.reclaim_bound_ms by default, and the start of the guaranteed gang.
+BOUND_S = 10
+START_S = 3
+
+
+class Reclaim(gangs.GangCase):
+    """council is guaranteed four whole workers; caravan borrows all eight."""
+
+    def setUp(self):
+        super().setUp()
+        row = self.system.operator("entry-1", "GET", "/v1/table/council").json()
+        row["guarantees"] = [
+            {
+                "data_centre": "hobart-a",
+                "count": 1,
+                "shape": {"members": 4, "accelerators": 8, "cores": 4},
+            }
+        ]
+        answer = self.system.operator("entry-1", "PUT", "/v1/table/council", row)
+        self.assertEqual(answer.status, 200, answer.body)
+        version = self.system.status("entry-1")["table_version"]
+        testing.wait_until(
+            lambda: all(
+                self.system.status(e)["table_version"] >= version
+                for e in self.system.topology.entries
+            ),
+            "the guarantee is in force",
+        )
+
+    def lend(self, recovery="checkpointable"):
+        """Two borrowers fill both racks."""
+        jobs = [
+            self.submit(account="caravan", members=4, run_ms=60000, recovery=recovery)
+            for _ in range(2)
+        ]
+        for job in jobs:
+            self.wait_started(job, members=4)
+        return jobs
+
+    def claim(self, entry="entry-1", fault=lambda: None):
+        """Asks for the guaranteed shape and returns the span until it runs."""
+        begun = time.monotonic()
+        owner = self.submit(entry=entry, members=4, run_ms=1000)
+        fault()
+        self.wait_started(owner, members=4)
+        span = time.monotonic() - begun
+        print(f"reclaim {self.id().rsplit('.', 1)[1]}: {span:.2f} s")
+        self.check_journal()
+        return owner, span
+
+    def check_reclaimed(self, span, extra=0):
+        self.assertLess(span, BOUND_S + START_S + extra)
+
+    def test_healthy_borrower_is_checkpointed_and_resumes(self):
+        jobs = self.lend()
+        _, span = self.claim()
+        self.check_reclaimed(span)
+        resumed = testing.wait_until(
+            lambda: next((j for j in jobs if len(self.tasks(j, "checkpointed")) == 4), None),
+            "one borrower left a checkpoint",
+        )
+        self.wait_started(resumed, members=4, attempt=2)
+        self.check_one_attempt_at_a_time(resumed)
+
+    def test_borrower_ignores_throttle_and_checkpoint(self):
+        self.lend(recovery="restartable")
+        for worker in self.system.topology.workers:
+            self.system.worker_faults(
+                worker["id"], ignore_throttle=True, ignore_checkpoint=True
+            )
+        _, span = self.claim()
+        self.check_reclaimed(span)
+
+    def test_worker_of_the_borrower_is_frozen(self):
+        jobs = self.lend()
+        frozen = self.tasks(jobs[0], "started")[0]["worker"]
+        self.system.kill(frozen, signal.SIGSTOP)
+        _, span = self.claim()
+        self.check_reclaimed(span)
+
+    def test_scheduler_killed_mid_reclaim(self):
+        self.lend()
+        holder = self.holder()
+        other = self.entry_besides(holder)
+        for worker in self.system.topology.workers:
+            self.system.worker_faults(worker["id"], ignore_checkpoint=True)
+
+        def kill_holder():
+            testing.wait_until(
+                lambda: "gang_preempted" in self.system.log_of(holder), "the reclaim began"
+            )
+            self.system.kill(holder)
+            for worker in self.system.topology.workers:
+                self.system.worker_faults(worker["id"], ignore_checkpoint=False)
+
+        _, span = self.claim(entry=other, fault=kill_holder)
+        self.check_reclaimed(span, extra=BOUND_S)
+
+    def test_log_down_during_the_reclaim(self):
+        """Borrowers are checkpointed at once; the log's return starts the owner."""
+        jobs = self.lend()
+        holder = self.holder()
+
+        def take_log_down():
+            testing.wait_until(
+                lambda: "gang_preempted" in self.system.log_of(holder), "the reclaim began"
+            )
+            self.system.platform_faults(down=True)
+            testing.wait_until(
+                lambda: any(len(self.tasks(j, "checkpointed")) == 4 for j in jobs),
+                "a borrower left a checkpoint while the log is down",
+            )
+            self.system.platform_faults(down=False)
+
+        _, span = self.claim(fault=take_log_down)
+        self.check_reclaimed(span)
+
+
+if __name__ == "__main__":
+    unittest.main()
