Gateway: Tell callers why a job waits

Cause: gateways do not hold the planner that knows the reason. Ruled out: writing reasons to the log, whose append rate is shared. Conclusion: seen through every gateway by gang_protocol_test.

--- a/Services/Gateway/job_api.cc
+++ b/Services/Gateway/job_api.cc
@@ -108,9 +108,20 @@
 }
 
 auto JobApi::Show(const ApiCall& call) -> void {
-  if (const auto* job = FindVisible(call)) {
-    call.reply.SendJson(kHttpOk, *job);
+  const auto* job = FindVisible(call);
+  if (job == nullptr) {
+    return;
+  }
+  core::Json document = *job;
+  if (job->status != state::JobStatus::kAccepted) {
+    call.reply.SendJson(kHttpOk, document);
+    return;
   }
+  explainer_.Ask(*job, [call, document](const std::string& text) mutable {
+    document["waiting_because"] =
+        text.empty() ? "the scheduler did not answer" : text;
+    call.reply.SendJson(kHttpOk, document);
+  });
 }
 
 auto JobApi::Cancel(const ApiCall& call) -> void {
--- a/Services/Gateway/job_api.h
+++ b/Services/Gateway/job_api.h
@@ -4,13 +4,14 @@
 
 #include "LibNode/node.h"
 #include "api_call.h"
+#include "wait_explainer.h"
 
 namespace kcm::gateway {
 
 /// The client accounts' calls on their jobs.
 class JobApi {
  public:
-  explicit JobApi(node::Node& node) : node_(node) {}
+  explicit JobApi(node::Node& node) : node_(node), explainer_(node) {}
 
   auto Submit(const ApiCall& call) -> void;
   auto List(const ApiCall& call) -> void;
@@ -26,6 +27,7 @@
                    const state::Verdict& verdict) -> void;
 
   node::Node& node_;
+  WaitExplainer explainer_;
 };
 
 }  // namespace kcm::gateway
--- a/Services/Scheduler/cell_task.h
+++ b/Services/Scheduler/cell_task.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "LibCore/clock.h"
 #include "LibNode/heartbeats.h"
 #include "LibNode/log_follower.h"
 #include "LibNode/node.h"
@@ -28,6 +29,11 @@
   /// Gives up the term at the next opportunity and claims no other.
   auto Resign() -> void { term_.Resign(); }
 
+  /// @return why a job waits; empty when this process does not lead.
+  [[nodiscard]] auto Explain(const std::string& job) const -> std::string {
+    return planner_ ? planner_->Explain(job, core::MonotonicNow()) : "";
+  }
+
  private:
   [[nodiscard]] auto cell() const -> const state::CellFold&;
 
--- a/Services/Scheduler/scheduler_service.cc
+++ b/Services/Scheduler/scheduler_service.cc
@@ -31,6 +31,16 @@
     cells_[data_centre] = std::make_unique<CellTask>(
         node, heartbeats_, follower_, workers_, data_centre);
   }
+  node.bus().OnMessage("explain", [this](const net::BusMessage& message) {
+    const auto cell = cells_.find(message.body.value("data_centre", ""));
+    if (cell != cells_.end()) {
+      const auto text = cell->second->Explain(message.body.value("job", ""));
+      node_.bus().Send(
+          message.from, "explained",
+          {{"ticket", message.body.value("ticket", std::int64_t{0})},
+           {"text", text}});
+    }
+  });
 }
 
 auto SchedulerService::Drain(std::function<void()> done) -> void {
--- a/Tests/System/gang_protocol_test.py
+++ b/Tests/System/gang_protocol_test.py
@@ -127,6 +127,21 @@
         self.check_one_attempt_at_a_time(job, killed=(victim,))
 
 
+class Waiting(GangCase):
+    def test_says_why_it_waits_through_every_gateway(self):
+        for _ in range(2):
+            self.wait_started(self.submit(members=4, run_ms=60000), members=4)
+        job = self.submit(account="caravan", members=4)
+        for entry in self.system.topology.entries:
+            shown = testing.wait_until(
+                lambda entry=entry: self.system.job(entry, "caravan", job),
+                "the job is shown",
+            )
+            self.assertEqual(shown["status"], "accepted")
+            self.assertIn("Waits for", shown["waiting_because"])
+            self.assertEqual([c["status"] for c in shown["history"]], ["accepted"])
+
+
 class SchedulerFails(GangCase):
     proxy = True
 
@@ -186,6 +201,30 @@
             self.assertEqual(len(self.tasks(job, "started")), 2)
         self.check_journal()
 
+    def test_two_at_once_the_one_cut_from_the_log_does_no_harm(self):
+        """It was paused past its lease and wakes on a VM that reaches only
+        the workers, so that nothing tells it of the newer term."""
+        holder = self.holder()
+        entry = holder.split("/")[0]
+        other = self.entry_besides(holder)
+        job = self.submit(entry=other, run_ms=14000, recovery="restartable")
+        self.wait_started(job)
+        roles = [f"{entry}/{role}" for role in testing.ROLES]
+        for process in roles:
+            self.system.kill(process, signal.SIGSTOP)
+        testing.wait_until(lambda: self.holder(other) != holder, "a takeover")
+        self.system.faults(f"log/{entry}", cut=True)
+        self.system.faults(f"bus/{entry}/", cut=True)
+        for peer in self.system.topology.entries:
+            if peer != entry:
+                self.system.faults(f"bus/{peer}/{entry}/", cut=True)
+        for process in roles:
+            self.system.kill(process, signal.SIGCONT)
+        ended = self.system.wait_job(other, "council", job, ENDED)
+        self.assertEqual(ended["status"], "done", ended)
+        self.assertEqual(len(self.tasks(job, "started")), 2)
+        self.check_journal()
+
     def test_terminated_it_hands_running_gangs_over(self):
         holder = self.holder()
         other = self.entry_besides(holder)
--- a/Tests/System/reclaim_test.py
+++ b/Tests/System/reclaim_test.py
@@ -1,5 +1,6 @@
 """A lent guaranteed shape comes back within its bound, whatever fails."""
 
+import json
 import signal
 import time
 import unittest
@@ -37,10 +38,10 @@
             "the guarantee is in force",
         )
 
-    def lend(self, recovery="checkpointable"):
+    def lend(self, recovery="checkpointable", run_ms=60000):
         """Two borrowers fill both racks."""
         jobs = [
-            self.submit(account="caravan", members=4, run_ms=60000, recovery=recovery)
+            self.submit(account="caravan", members=4, run_ms=run_ms, recovery=recovery)
             for _ in range(2)
         ]
         for job in jobs:
@@ -62,7 +63,7 @@
         self.assertLess(span, BOUND_S + START_S + extra)
 
     def test_healthy_borrower_is_checkpointed_and_resumes(self):
-        jobs = self.lend()
+        jobs = self.lend(run_ms=15000)
         _, span = self.claim()
         self.check_reclaimed(span)
         resumed = testing.wait_until(
@@ -71,6 +72,9 @@
         )
         self.wait_started(resumed, members=4, attempt=2)
         self.check_one_attempt_at_a_time(resumed)
+        ended = self.system.wait_job("entry-1", "caravan", resumed, gangs.ENDED)
+        self.assertEqual(ended["status"], "done")
+        self.assertTrue(all("remaining_ms" in c for c in json.loads(ended["checkpoint"])))
 
     def test_borrower_ignores_throttle_and_checkpoint(self):
         self.lend(recovery="restartable")
--- a/Utilities/kcm/render.cc
+++ b/Utilities/kcm/render.cc
@@ -113,6 +113,14 @@
     text << " (" << TextOf(job.at("reason")) << ")";
   }
   text << ", attempt " << job.at("attempt") << "\n";
+  if (job.contains("waiting_because")) {
+    text << "  waiting: " << TextOf(job.at("waiting_because")) << "\n";
+  }
+  for (const auto& change : job.at("history")) {
+    text << "  at " << change.at("at") << " attempt " << change.at("attempt")
+         << " " << TextOf(change.at("status")) << " "
+         << TextOf(change.at("reason")) << "\n";
+  }
   for (const auto& member : job.at("members")) {
     text << "  rack " << TextOf(member.at("rack")) << ", worker "
          << TextOf(member.at("worker")) << ", accelerators "
