--- a/Services/Scheduler/worker_directory.cc
+++ b/Services/Scheduler/worker_directory.cc
@@ -25,6 +25,7 @@
 auto WorkerDirectory::IsUsable(const std::string& worker) const -> bool {
   const auto aside = aside_until_.find(worker);
   return usable_.contains(worker) &&
+         !node_.log().world().table().cordons().contains(worker) &&
          (aside == aside_until_.end() || core::MonotonicNow() >= aside->second);
 }
 
