--- a/Services/Scheduler/gang_runner.h
+++ b/Services/Scheduler/gang_runner.h
@@ -70,7 +70,7 @@
   using Batch = std::map<std::string, LeaseOwner>;
 
   [[nodiscard]] auto cell() const -> const state::CellFold&;
-  auto Settings() const -> gang::GangSettings;
+  [[nodiscard]] auto Settings() const -> gang::GangSettings;
   auto Acquire(const state::Job& job, std::size_t member) -> void;
   auto Perform(const std::string& job, const gang::GangActions& actions)
       -> void;
