Scheduler: Capture bindings by name as clang asks

Cause: clang refuses to capture structured bindings that g++ takes. Change: captures with initialisers and one const reference.

--- a/Services/Scheduler/gang_runner.cc
+++ b/Services/Scheduler/gang_runner.cc
@@ -266,7 +266,7 @@
 
 auto GangRunner::Record(const state::Record& record,
                         std::int64_t term,
-                        std::function<void()> settled) -> void {
+                        const std::function<void()>& settled) -> void {
   node_.writer().Append(
       state::JobStreamOf(data_centre_), record,
       core::MonotonicNow() + kAppendTimeout,
@@ -360,7 +360,8 @@
     }
     port_.Renew(
         *address, term_.number(), leases, node_.settings().lease_ttl_ms,
-        [this, worker, batch](const platform::RenewResult& result) {
+        [this, worker = worker,
+         batch = batch](const platform::RenewResult& result) {
           renewing_.erase(worker);
           if (!result) {
             return;
--- a/Services/Scheduler/gang_runner.h
+++ b/Services/Scheduler/gang_runner.h
@@ -88,7 +88,7 @@
   /// Appends a record until the fold has decided about it.
   auto Record(const state::Record& record,
               std::int64_t term,
-              std::function<void()> settled) -> void;
+              const std::function<void()>& settled) -> void;
   /// Closes an attempt in the log and forgets its gang.
   auto CloseAttempt(const state::Job& job,
                     state::RecordKind kind,
