--- a/Services/Scheduler/scheduler_service.cc
+++ b/Services/Scheduler/scheduler_service.cc
@@ -28,9 +28,19 @@
                 node::PreferOwnRelay(node)),
       workers_(node) {
   for (const auto& data_centre : node.DataCentresOf(node.settings().region)) {
-    cells_[data_centre] =
-        std::make_unique<CellTask>(node, heartbeats_, workers_, data_centre);
+    cells_[data_centre] = std::make_unique<CellTask>(
+        node, heartbeats_, follower_, workers_, data_centre);
   }
+  node.bus().OnMessage("explain", [this](const net::BusMessage& message) {
+    const auto cell = cells_.find(message.body.value("data_centre", ""));
+    if (cell != cells_.end()) {
+      const auto text = cell->second->Explain(message.body.value("job", ""));
+      node_.bus().Send(
+          message.from, "explained",
+          {{"ticket", message.body.value("ticket", std::int64_t{0})},
+           {"text", text}});
+    }
+  });
 }
 
 auto SchedulerService::Drain(std::function<void()> done) -> void {
