LibSchedule: Cordon a worker that fails jobs which run well elsewhere

Cause: gang_bad_worker_test failed: fair sharing hands worker-1 the jobs of one account in each wave, so the rule of two accounts never proved it bad, and a restartable job that failed was ended at once. Ruled out: one account's failures alone as proof; a bad job would cordon workers. Change: a failed restartable attempt is requeued and its worker told to the planner; three jobs that failed on a worker and ended done on others cordon it.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -45,7 +45,6 @@
     EventInfo{Event::kJobRefused, "job_refused", Severity::kWarning},
     EventInfo{Event::kWorkerCordoned, "worker_cordoned", Severity::kWarning},
     EventInfo{Event::kSchedulerPaused, "scheduler_paused", Severity::kWarning},
-    EventInfo{Event::kOrphanStopped, "orphan_stopped", Severity::kWarning},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRequestRetried, "request_retried", Severity::kInfo},
     EventInfo{Event::kRequestUnknown, "request_unknown", Severity::kWarning},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -38,7 +38,6 @@
   kJobRefused = 317,
   kWorkerCordoned = 318,
   kSchedulerPaused = 319,
-  kOrphanStopped = 320,
   kRowEdited = 400,
   kRequestRetried = 410,
   kRequestUnknown = 411,
--- a/Libraries/LibGang/gang.cc
+++ b/Libraries/LibGang/gang.cc
@@ -239,9 +239,13 @@
     return;
   }
   if (const auto failed = FindFailedWorker(); !failed.empty()) {
-    StopAll(RecordEnd{state::JobStatus::kFailed,
-                      "the task failed on worker " + failed, failed},
-            now);
+    const auto reason = "the task failed on worker " + failed;
+    if (job_.spec.recovery == state::Recovery::kRestartable) {
+      // The planner tells a bad worker from a bad job by further attempts.
+      StopAll(RecordRequeue{"", true, reason, failed}, now);
+    } else {
+      StopAll(RecordEnd{state::JobStatus::kFailed, reason, failed}, now);
+    }
     return;
   }
   if (const auto broken = FindBreak(now); !broken.empty()) {
@@ -280,7 +284,7 @@
   const auto span = now - *reclaim_since_;
   if (CountIn(LeaseState::kCheckpointed) == members_.size()) {
     keep_leases_ = true;
-    Close(RecordRequeue{JoinCheckpoints(), true, reason});
+    Close(RecordRequeue{JoinCheckpoints(), true, reason, ""});
     return;
   }
   if (CountIn(LeaseState::kDone) == members_.size()) {
@@ -352,7 +356,7 @@
   const bool resumes = job_.spec.recovery == state::Recovery::kCheckpointable &&
                        !job_.checkpoint.empty();
   if (restartable || resumes || !may_have_started_) {
-    return RecordRequeue{job_.checkpoint, may_have_started_, reason};
+    return RecordRequeue{job_.checkpoint, may_have_started_, reason, ""};
   }
   return RecordEnd{state::JobStatus::kLost, reason, ""};
 }
--- a/Libraries/LibGang/gang_action.h
+++ b/Libraries/LibGang/gang_action.h
@@ -32,6 +32,8 @@
   std::string checkpoint;
   bool started = true;
   std::string reason;
+  /// The worker on which the task failed; empty when none did.
+  std::string bad_worker;
 };
 
 /// Forget the gang: it was never placed and its leases are gone.
--- a/Libraries/LibNode/node_settings.cc
+++ b/Libraries/LibNode/node_settings.cc
@@ -6,6 +6,9 @@
 #include <map>
 #include <utility>
 
+#include "LibRequest/queue_order.h"
+#include "LibRequest/routing_strategy.h"
+
 namespace kcm::node {
 
 namespace {
@@ -222,6 +225,23 @@
   return false;
 }
 
+/// Checks a setting whose value is one of a table of names.
+template <core::NamedEnum Enum>
+auto CheckName(const std::string& path,
+               const FlatDocument& flat,
+               const std::string& key,
+               const std::string& name,
+               core::Reason& reason) -> bool {
+  if (core::ValueOf<Enum>(name)) {
+    return true;
+  }
+  reason = {core::ErrorKind::kBadInput, key,
+            key + " is \"" + name + "\"; allowed is " +
+                core::AllNamesOf<Enum>() + "."};
+  AddPlace(path, flat, 1, reason);
+  return false;
+}
+
 }  // namespace
 
 auto NodeFields() -> std::span<const core::Field<NodeSettings>> {
@@ -264,7 +284,11 @@
   }
   settings->peers = std::move(*peers);
   settings->data_centres = std::move(*data_centres);
-  if (!CheckReferences(path, *settings, reason) ||
+  if (!CheckName<request::RoutingStrategy>(path, flat, "gateway.routing",
+                                           settings->routing, reason) ||
+      !CheckName<request::QueueOrder>(path, flat, "gateway.queue_order",
+                                      settings->queue_order, reason) ||
+      !CheckReferences(path, *settings, reason) ||
       !CheckSpans(path, *settings, reason)) {
     return std::nullopt;
   }
--- a/Libraries/LibSchedule/failure_tracker.cc
+++ b/Libraries/LibSchedule/failure_tracker.cc
@@ -67,4 +67,15 @@
   return finding;
 }
 
+auto FailureTracker::ProvenBadBy(const std::string& job)
+    -> std::vector<std::string> {
+  std::vector<std::string> bad;
+  for (const auto& worker : TriedBy(job)) {
+    if (++proven_[worker] >= kJobsToCordon) {
+      bad.push_back(worker);
+    }
+  }
+  return bad;
+}
+
 }  // namespace kcm::schedule
--- a/Libraries/LibSchedule/failure_tracker.h
+++ b/Libraries/LibSchedule/failure_tracker.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace kcm::schedule {
 
@@ -29,7 +30,13 @@
       -> const std::set<std::string>&;
 
   /// A job ran well on a worker; clears the worker of earlier failures.
-  auto Succeeded(const std::string& worker) -> void { workers_.erase(worker); }
+  auto Succeeded(const std::string& worker) -> void { ForgetWorker(worker); }
+
+  /// A job that had failed before ran to its end on other workers.
+  /// @return workers on which enough such jobs had failed, whatever accounts
+  ///     the jobs belong to.
+  [[nodiscard]] auto ProvenBadBy(const std::string& job)
+      -> std::vector<std::string>;
 
   /// Forgets a job that will not run again.
   auto ForgetJob(const std::string& job) -> void {
@@ -40,6 +47,7 @@
   /// Forgets the failures of a worker that was put back into service.
   auto ForgetWorker(const std::string& worker) -> void {
     workers_.erase(worker);
+    proven_.erase(worker);
   }
 
  private:
@@ -49,6 +57,8 @@
   [[nodiscard]] auto IsBad(const std::string& worker) const -> bool;
 
   std::unordered_map<std::string, Failures> workers_;
+  /// Jobs that failed on a worker and ended well on others, by worker.
+  std::unordered_map<std::string, std::size_t> proven_;
   std::unordered_map<std::string, std::set<std::string>> jobs_;
   /// Failed attempts by job.
   std::unordered_map<std::string, int> attempts_;
--- a/Libraries/LibSchedule/planner.cc
+++ b/Libraries/LibSchedule/planner.cc
@@ -202,13 +202,9 @@
   state_->now = now;
   const auto finding =
       state_->failures.Failed(job.id, job.spec.account, bad_worker);
-  if (!finding.bad_worker.empty() &&
-      state_->cordoned.insert(finding.bad_worker).second) {
-    const auto reported = reported_.find(finding.bad_worker);
-    SetWorkerUsable(finding.bad_worker,
-                    reported == reported_.end() || reported->second);
-    pending_.emplace_back(CordonWorker{
-        finding.bad_worker, "Jobs of several accounts failed on the worker."});
+  if (!finding.bad_worker.empty()) {
+    Cordon(finding.bad_worker,
+           "Jobs of several accounts failed on the worker.");
   }
   if (!finding.bad_job.empty()) {
     quarantined_[finding.bad_job] =
@@ -216,6 +212,16 @@
   }
 }
 
+auto Planner::Cordon(const std::string& worker, const std::string& reason)
+    -> void {
+  if (!state_->cordoned.insert(worker).second) {
+    return;
+  }
+  const auto reported = reported_.find(worker);
+  SetWorkerUsable(worker, reported == reported_.end() || reported->second);
+  pending_.emplace_back(CordonWorker{worker, reason});
+}
+
 auto Planner::JobEnded(const state::Job& job,
                        const std::string& bad_worker,
                        core::Millis now) -> void {
@@ -229,6 +235,10 @@
       found != state_->gangs.end()) {
     const auto& gang = found->second;
     if (job.status == state::JobStatus::kDone) {
+      for (const auto& worker : state_->failures.ProvenBadBy(job.id)) {
+        Cordon(worker,
+               "Jobs that failed on the worker ran well on other workers.");
+      }
       for (const auto& seat : gang.seats) {
         state_->failures.Succeeded(state_->model.table.at(seat.worker).id);
       }
--- a/Libraries/LibSchedule/planner.h
+++ b/Libraries/LibSchedule/planner.h
@@ -72,6 +72,8 @@
   [[nodiscard]] auto state() const -> const PlannerState& { return *state_; }
 
  private:
+  auto Cordon(const std::string& worker, const std::string& reason) -> void;
+
   auto Refuse(const std::string& job, const std::string& reason) -> void;
 
   std::unique_ptr<PlannerState> state_;
--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -103,9 +103,8 @@
 
 
 def main():
-    build = sys.argv[1] if len(sys.argv) > 1 else ROOT / "Build"
     network = None if "--any-network" in sys.argv else testing.BASE_NETWORK
-    with testing.Cluster(build, network=network) as system:
+    with testing.Cluster(testing.BUILD, network=network) as system:
         names = sorted(system.processes)
         say(f"{len(names)} processes: " + " ".join(names))
         system.set_up_accounts()
--- a/Services/Scheduler/cell_task.cc
+++ b/Services/Scheduler/cell_task.cc
@@ -132,6 +132,9 @@
   }
   if (job.status == state::JobStatus::kAccepted) {
     gangs_.Forget(job.id);
+    if (!bad_worker.empty()) {
+      planner_->AttemptFailed(job, bad_worker, now);
+    }
     planner_->JobWaiting(job, now);
     return;
   }
--- a/Services/Scheduler/gang_runner.cc
+++ b/Services/Scheduler/gang_runner.cc
@@ -239,7 +239,8 @@
   CloseAttempt(job, state::RecordKind::kJobRequeued,
                {{"checkpoint", action.checkpoint},
                 {"started", action.started},
-                {"reason", action.reason}});
+                {"reason", action.reason},
+                {"worker", action.bad_worker}});
 }
 
 auto GangRunner::CloseAttempt(const state::Job& job,
--- a/Tests/System/base_settings_test.py
+++ b/Tests/System/base_settings_test.py
@@ -2,14 +2,13 @@
 
 import pathlib
 import subprocess
-import sys
 import tempfile
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop()) if len(sys.argv) > 1 else ROOT / "Build"
+ROOT = testing.ROOT
+BUILD = testing.BUILD
 BASE = ROOT / "Base" / "Glintwater"
 
 
@@ -36,6 +35,9 @@
             ("bad port", ":8001", ":99999", "IP:PORT with a port from 1 to 65535"),
             ("wrong type", 'name = "entry-1"', "name = 7", "node.name is 7"),
             ("no TOML", "[node]", "[node", "entry.toml:1"),
+            ("bad name", "[scheduler]", 'routing = "rr"\n[scheduler]', "allowed is least_loaded"),
+            ("bad order", "[scheduler]", 'queue_order = "x"\n[scheduler]', "allowed is first_in"),
+            ("bad span", "[scheduler]", "[scheduler]\nreclaim_bound_ms = 1", "reclaim_bound_ms"),
             ("unknown place", '"hobart-a"', '"hobart-z"', "none of the [[data_centre]]"),
         )
         for name, old, new, expected in cases:
@@ -50,4 +52,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/cluster.py
+++ b/Tests/System/cluster.py
@@ -16,8 +16,10 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+import unittest
 import urllib.parse
 
 ROLES = ("gateway", "scheduler", "relay")
@@ -27,6 +29,25 @@
 OPERATOR_TOKEN = "operator-secret"
 PROXY_PORT_BASE = 10000
 WAIT_SECONDS = 30
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+def find_build_folder():
+    """The build folder: the first word of the command line if it is one."""
+    if len(sys.argv) > 1 and (pathlib.Path(sys.argv[1]) / "kcm-gateway").exists():
+        return pathlib.Path(sys.argv[1]).resolve()
+    return ROOT / "Build"
+
+
+def main():
+    """Runs the tests of the file that was started; the build folder comes first."""
+    words = sys.argv[1:]
+    if words and pathlib.Path(words[0]).resolve() == BUILD:
+        del words[0]
+    unittest.main(module="__main__", argv=[sys.argv[0], *words])
+
+
+BUILD = find_build_folder()
 # Loopback network of the settings in Base/.
 BASE_NETWORK = "127.0.77"
 
--- a/Tests/System/gang_log_down_test.py
+++ b/Tests/System/gang_log_down_test.py
@@ -1,6 +1,5 @@
 """Running gangs outlive the log's outage, also when their scheduler dies."""
 
-import unittest
 
 import cluster as testing
 import gang_protocol_test as gangs
@@ -63,4 +62,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/gang_protocol_test.py
+++ b/Tests/System/gang_protocol_test.py
@@ -1,14 +1,11 @@
 """No gang runs partially, and no attempt runs twice, whatever fails."""
 
-import pathlib
 import signal
-import sys
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop()) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 ENDED = ("done", "failed", "cancelled", "lost")
 
 
@@ -237,4 +234,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/operations_docs_test.py
+++ b/Tests/System/operations_docs_test.py
@@ -2,16 +2,14 @@
 """Keeps the pages for operators equal to what the system does."""
 
 import json
-import pathlib
 import re
 import subprocess
-import sys
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1) if len(sys.argv) > 1 else "Build").resolve()
+ROOT = testing.ROOT
+BUILD = testing.BUILD
 
 
 def page(name):
@@ -115,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/operations_kcm_test.py
+++ b/Tests/System/operations_kcm_test.py
@@ -2,15 +2,13 @@
 """What an operator does with kcm, against real processes."""
 
 import json
-import pathlib
 import subprocess
-import sys
 import tempfile
 import unittest
 
 import cluster as testing
 
-BUILD = pathlib.Path(sys.argv.pop(1) if len(sys.argv) > 1 else "Build").resolve()
+BUILD = testing.BUILD
 
 
 def kcm(*words, gateway="127.0.0.1:9", token=testing.OPERATOR_TOKEN):
@@ -148,4 +146,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/operations_trace_test.py
+++ b/Tests/System/operations_trace_test.py
@@ -3,14 +3,12 @@
 
 import http.server
 import json
-import pathlib
-import sys
 import threading
 import unittest
 
 import cluster as testing
 
-BUILD = pathlib.Path(sys.argv.pop(1) if len(sys.argv) > 1 else "Build").resolve()
+BUILD = testing.BUILD
 TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
 CALLER_SPAN = "00f067aa0ba902b7"
 
@@ -119,4 +117,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/reclaim_return_test.py
+++ b/Tests/System/reclaim_return_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import cluster as testing
 import gang_protocol_test as gangs
 import reclaim_test
 
@@ -24,4 +25,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/reclaim_test.py
+++ b/Tests/System/reclaim_test.py
@@ -3,7 +3,6 @@
 import json
 import signal
 import time
-import unittest
 
 import cluster as testing
 import gang_protocol_test as gangs
@@ -145,4 +144,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_at_most_once_test.py
+++ b/Tests/System/requests_at_most_once_test.py
@@ -1,16 +1,13 @@
 """Non-idempotent requests run at most once, and "not run" is true."""
 
 import collections
-import pathlib
-import sys
 import threading
 import time
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 # Bound of the issue: a log that is down is said so at once, not at the deadline.
 LOG_DOWN_SECONDS = 3
 
@@ -190,4 +187,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_drain_test.py
+++ b/Tests/System/requests_drain_test.py
@@ -1,18 +1,15 @@
 """A graceful shutdown of a gateway cuts no request."""
 
 import http.client
-import pathlib
 import signal
 import socket
-import sys
 import threading
 import time
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 CALLERS = 24
 WORK_MS = 300
 # Longest drain that the test accepts with idle callers; far below the drain timeout.
@@ -104,4 +101,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_leaving_test.py
+++ b/Tests/System/requests_leaving_test.py
@@ -1,15 +1,12 @@
 """A leaving endpoint gets no new work after a few seconds."""
 
-import pathlib
-import sys
 import threading
 import time
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 # The target: no new work so long after the endpoint began to leave.
 GRACE_SECONDS = 3
 LIST_LAG_MS = 30000
@@ -100,4 +97,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_limits_test.py
+++ b/Tests/System/requests_limits_test.py
@@ -1,13 +1,11 @@
 """Limits that all gateways keep together: concurrency, connections, the link."""
 
 import pathlib
-import sys
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 ESTABLISHED = "01"
 SECONDS = 3
 
@@ -82,4 +80,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_overload_test.py
+++ b/Tests/System/requests_overload_test.py
@@ -1,13 +1,10 @@
 """Overload of one account, and limits shared among the gateways."""
 
-import pathlib
-import sys
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 MINIONS = 6
 SLOTS = 8
 WORK_MS = 50
@@ -126,4 +123,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/requests_whole_answer_test.py
+++ b/Tests/System/requests_whole_answer_test.py
@@ -1,16 +1,13 @@
 """Each caller gets the whole answer to its own request, or is told otherwise."""
 
 import http.client
-import pathlib
 import socket
-import sys
 import threading
 import unittest
 
 import cluster as testing
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 LARGE_BODY = "x" * 6_000_000
 
 
@@ -96,4 +93,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/table_faults_test.py
+++ b/Tests/System/table_faults_test.py
@@ -2,8 +2,6 @@
 
 import http.client
 import os
-import pathlib
-import sys
 import threading
 import time
 import unittest
@@ -11,8 +9,7 @@
 import cluster as testing
 from cluster import wait_until
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 # The target's bound on the time until an accepted row is in force everywhere.
 IN_FORCE_SECONDS = 5
 # Time after which a gateway gives up an edit that the log neither takes nor refuses.
@@ -269,4 +266,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/table_together_test.py
+++ b/Tests/System/table_together_test.py
@@ -2,17 +2,14 @@
 
 import http.client
 import os
-import pathlib
 import random
 import signal
-import sys
 import unittest
 
 import cluster as testing
 from cluster import wait_until
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 SEEDS = [int(seed) for seed in os.environ.get("KCM_SEEDS", "1 2 3 4 5 6 7 8").split()]
 EDITS = 4
 
@@ -134,4 +131,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
--- a/Tests/System/terms_test.py
+++ b/Tests/System/terms_test.py
@@ -1,15 +1,12 @@
 """Each data centre has one effective scheduler, whatever stops the present one."""
 
-import pathlib
 import signal
-import sys
 import unittest
 
 import cluster as testing
 from cluster import gang, wait_until
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else ROOT / "Build"
+BUILD = testing.BUILD
 # Bound on a hand-over by a scheduler that drains.
 HAND_OVER_SECONDS = 1
 # The region's two schedulers, and the VM whose gateway the tests ask.
@@ -112,4 +109,4 @@
 
 
 if __name__ == "__main__":
-    unittest.main()
+    testing.main()
