--- a/Tests/LibSchedule/cell_history.h
+++ b/Tests/LibSchedule/cell_history.h
@@ -34,7 +34,7 @@
 }
 
 inline auto RowOf(const std::string& account,
-                  std::vector<state::Shape> guarantees,
+                  const std::vector<state::Shape>& guarantees,
                   bool may_borrow = true) -> state::Row {
   state::Row row;
   row.account = account;
--- a/Tests/LibSchedule/overload_test.cc
+++ b/Tests/LibSchedule/overload_test.cc
@@ -53,7 +53,7 @@
   const auto add_small = [&] {
     // Twice as much work arrives as the fleet can do.
     const auto jobs =
-        std::max<core::Millis>(2 * 64 * kTick / GetParam().run_ms, 1);
+        std::max<core::Millis>(kTick * 2 * 64 / GetParam().run_ms, 1);
     for (core::Millis i = 0; i < jobs; ++i) {
       ++serial;
       cell.Submit("small-" + std::to_string(serial),
--- a/Utilities/kcm-bench/strategy.cc
+++ b/Utilities/kcm-bench/strategy.cc
@@ -6,9 +6,9 @@
 namespace kcm::bench {
 
 auto StrategyNames() -> const std::vector<std::string>& {
-  static const std::vector<std::string> kNames = {"ours", "first-fit",
-                                                  "best-fit", "backfill"};
-  return kNames;
+  static const std::vector<std::string> names = {"ours", "first-fit",
+                                                 "best-fit", "backfill"};
+  return names;
 }
 
 auto MakeStrategy(const std::string& name, const Workload& workload)
--- a/Utilities/kcm-bench/workload.cc
+++ b/Utilities/kcm-bench/workload.cc
@@ -157,7 +157,7 @@
                        Recovery::kNone,
                        false};
   for (int i = 0; i < 8; ++i) {
-    auto arrival = MakeArrival(kOwed, kHour + i * 80 * kMinute, scenario, dice);
+    auto arrival = MakeArrival(kOwed, kHour + kMinute * 80 * i, scenario, dice);
     arrival.spec.account = kOwedAccount;
     all.push_back(std::move(arrival));
   }
