LibGang: Start a gang only on reports younger than its commit

Cause: test_worker_killed_between_lease_and_start failed: the commit took a second, the reports of the grant still counted as fresh, and the survivor of the dead member was started; the job ended lost after attempt 1. Ruled out: a shorter freshness span; it only narrows the gap and a slow log would never start a gang. Change: the commit makes all reports stale, and the gang's leases are renewed at once. An edit is judged against the fleet only when its row asks for more, so a shrunken fleet no longer refuses edits of other columns, and an edit does not walk the fleet. The gateway keeps the empty model of a data centre that submissions are checked against. Conclusion: a member that dies before the commit costs no started task.

--- a/Libraries/LibGang/gang.cc
+++ b/Libraries/LibGang/gang.cc
@@ -116,6 +116,10 @@
     return;
   }
   phase_ = GangPhase::kPlaced;
+  // The commit may have taken long: a start needs reports that are younger.
+  for (auto& member : members_) {
+    member.heard = false;
+  }
 }
 
 auto Gang::On(const RenewalSent& event, core::Millis now) -> void {
--- a/Libraries/LibPlatform/http_minion_port.cc
+++ b/Libraries/LibPlatform/http_minion_port.cc
@@ -44,7 +44,7 @@
                           Done done) -> void {
   net::HttpRequest outgoing{
       "POST",
-      "/v1/work",
+      "/v1/run",
       {},
       {{"x-request-id", request.hop_id},
        {"x-account", request.account},
--- a/Libraries/LibState/guarantee_check.cc
+++ b/Libraries/LibState/guarantee_check.cc
@@ -121,6 +121,24 @@
 
 }  // namespace
 
+auto AsksForMore(const std::vector<Guarantee>& before,
+                 const std::vector<Guarantee>& after) -> bool {
+  std::vector<Guarantee> left = before;
+  for (const auto& guarantee : after) {
+    const auto held =
+        std::find_if(left.begin(), left.end(), [&](const Guarantee& other) {
+          return other.data_centre == guarantee.data_centre &&
+                 other.shape == guarantee.shape &&
+                 other.count >= guarantee.count;
+        });
+    if (held == left.end()) {
+      return true;
+    }
+    left.erase(held);
+  }
+  return false;
+}
+
 auto CheckGuarantees(const std::map<std::string, Row>& rows, const Fleet& fleet)
     -> Verdict {
   auto demands = DemandsByDataCentre(rows);
--- a/Libraries/LibState/row.h
+++ b/Libraries/LibState/row.h
@@ -17,6 +17,8 @@
   /// How many gangs of this shape.
   std::int64_t count = 1;
   Shape shape;
+
+  auto operator==(const Guarantee&) const -> bool = default;
 };
 
 KCM_JSON(Guarantee, data_centre, count, shape)
--- a/Libraries/LibState/table_fold.cc
+++ b/Libraries/LibState/table_fold.cc
@@ -52,13 +52,19 @@
                                std::to_string(row.version) + ".");
   }
   ++row.version;
-  auto edited = rows_;
-  edited[row.account] = row;
-  auto verdict = CheckGuarantees(edited, fleet_);
-  if (!verdict.accepted) {
-    return verdict;
+  const auto before =
+      present == nullptr ? std::vector<Guarantee>{} : present->guarantees;
+  // The check walks the whole fleet, and a fleet that shrank must not keep
+  // operators from edits that ask for nothing more.
+  if (AsksForMore(before, row.guarantees)) {
+    auto edited = rows_;
+    edited[row.account] = row;
+    auto verdict = CheckGuarantees(edited, fleet_);
+    if (!verdict.accepted) {
+      return verdict;
+    }
   }
-  rows_ = std::move(edited);
+  rows_[row.account] = row;
   ++version_;
   history_.push_back({version_, record.at, record.by, std::move(row)});
   if (history_.size() > kHistoryLength) {
--- /dev/null
+++ b/Services/Gateway/empty_fleet.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "LibSchedule/fleet_model.h"
+#include "LibState/fleet.h"
+
+namespace kcm::gateway {
+
+/// Models of the data centres with everything free, kept until the fleet on
+/// record changes; a submission is checked against them.
+class EmptyFleet {
+ public:
+  /// @return the model of a data centre for the fleet's present version.
+  [[nodiscard]] auto Of(const state::Fleet& fleet,
+                        const std::string& data_centre)
+      -> const schedule::FleetModel&;
+
+ private:
+  std::int64_t version_ = 0;
+  std::map<std::string, schedule::FleetModel> models_;
+};
+
+}  // namespace kcm::gateway
--- a/Services/Gateway/job_api.cc
+++ b/Services/Gateway/job_api.cc
@@ -41,8 +41,8 @@
                core::DidYouMean(spec->data_centre, node_.DataCentresOf("")));
     return;
   }
-  const schedule::FleetModel whole(world.table().fleet(), spec->data_centre);
-  if (!schedule::FindPlacement(whole, spec->shape)) {
+  const auto& empty = empty_fleet_.Of(world.table().fleet(), spec->data_centre);
+  if (!schedule::FindPlacement(empty, spec->shape)) {
     Refuse(call, core::ErrorKind::kNeverFits, "shape",
            "The gang finds no room in " + spec->data_centre +
                " even when all its workers are free.");
--- a/Services/Gateway/job_api.h
+++ b/Services/Gateway/job_api.h
@@ -4,6 +4,7 @@
 
 #include "LibNode/node.h"
 #include "api_call.h"
+#include "empty_fleet.h"
 #include "wait_explainer.h"
 
 namespace kcm::gateway {
@@ -28,6 +29,7 @@
 
   node::Node& node_;
   WaitExplainer explainer_;
+  EmptyFleet empty_fleet_;
 };
 
 }  // namespace kcm::gateway
--- a/Services/Scheduler/gang_runner.cc
+++ b/Services/Scheduler/gang_runner.cc
@@ -166,6 +166,9 @@
                       {"members", job.members.size()}});
     }
     NotifyAttempt(job.id, job.attempt, gang::CommitSettled{placed});
+    if (placed) {
+      RenewGang(job.id);
+    }
   });
 }
 
@@ -287,20 +290,38 @@
 }
 
 auto GangRunner::Renew() -> void {
-  std::map<std::string, Batch> batches;
+  Batches batches;
   for (const auto& [id, gang] : gangs_) {
-    const auto& members = gang.job().members;
-    for (std::size_t i = 0; i < members.size(); ++i) {
-      if (gang.WantsRenewal(i)) {
-        batches[members[i].worker][members[i].lease] = {id, i};
-      }
-    }
+    Collect(id, gang, batches);
   }
   for (const auto& [worker, batch] : batches) {
     RenewOn(worker, batch);
   }
 }
 
+auto GangRunner::RenewGang(const std::string& id) -> void {
+  const auto found = gangs_.find(id);
+  if (found == gangs_.end()) {
+    return;
+  }
+  Batches batches;
+  Collect(id, found->second, batches);
+  for (const auto& [worker, batch] : batches) {
+    RenewOn(worker, batch);
+  }
+}
+
+auto GangRunner::Collect(const std::string& id,
+                         const gang::Gang& gang,
+                         Batches& batches) -> void {
+  const auto& members = gang.job().members;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (gang.WantsRenewal(i)) {
+      batches[members[i].worker][members[i].lease] = {id, i};
+    }
+  }
+}
+
 auto GangRunner::RenewOn(const std::string& worker, const Batch& batch)
     -> void {
   const auto address = workers_.AddressOf(worker);
@@ -340,7 +361,7 @@
 }
 
 auto GangRunner::RenewForHolder() -> void {
-  std::map<std::string, Batch> batches;
+  Batches batches;
   for (const auto& id : cell().placed()) {
     const auto& job = *cell().FindJob(id);
     if (lapsing_.contains(id) || job.cancel_requested) {
--- a/Services/Scheduler/gang_runner.h
+++ b/Services/Scheduler/gang_runner.h
@@ -68,6 +68,8 @@
     std::size_t member = 0;
   };
   using Batch = std::map<std::string, LeaseOwner>;
+  /// Batches by worker.
+  using Batches = std::map<std::string, Batch>;
 
   [[nodiscard]] auto cell() const -> const state::CellFold&;
   [[nodiscard]] auto Settings() const -> gang::GangSettings;
@@ -82,6 +84,11 @@
   auto Start(const state::Job& job, std::size_t member) -> void;
   auto Stop(const state::Job& job, std::size_t member) -> void;
   auto ReleaseLeases(const state::Job& job) -> void;
+  /// Renews the leases of one gang at once, as its start waits for reports.
+  auto RenewGang(const std::string& id) -> void;
+  static auto Collect(const std::string& id,
+                      const gang::Gang& gang,
+                      Batches& batches) -> void;
   auto RenewOn(const std::string& worker, const Batch& batch) -> void;
   auto OnRenewed(const Batch& batch, const platform::RenewResult& result)
       -> void;
--- a/Tests/LibState/table_fold_test.cc
+++ b/Tests/LibState/table_fold_test.cc
@@ -58,5 +58,52 @@
   EXPECT_EQ(copy.next_offset(), 1);
 }
 
+auto FleetOf(std::int64_t version, std::int64_t accelerators) -> Record {
+  const WorkerRecord worker{"worker-1", "hobart-a",  "rack-1",
+                            64,         1024 * 1024, accelerators};
+  return MakeRecord(RecordKind::kFleetRecorded, "operator",
+                    Fleet{version, {worker}});
+}
+
+auto GuaranteedRow(std::int64_t version, double weight, std::int64_t count)
+    -> Record {
+  Row row;
+  row.account = "council";
+  row.version = version;
+  row.weight = weight;
+  if (count > 0) {
+    row.guarantees = {{"hobart-a", count, Shape{1, 1, 1, 1024}}};
+  }
+  return MakeRecord(RecordKind::kRowEdited, "operator", row);
+}
+
+struct ShrunkFleetCase {
+  const char* name;
+  double weight;
+  std::int64_t count;
+  bool accepted;
+};
+
+class TableFoldShrunkFleet : public testing::TestWithParam<ShrunkFleetCase> {};
+
+TEST_P(TableFoldShrunkFleet, RefusesOnlyEditsThatAskForMore) {
+  TableFold fold;
+  ASSERT_TRUE(fold.Apply(0, FleetOf(0, 8)).accepted);
+  ASSERT_TRUE(fold.Apply(1, GuaranteedRow(0, 1, 8)).accepted);
+  ASSERT_TRUE(fold.Apply(2, FleetOf(1, 4)).accepted);
+  const auto& edit = GetParam();
+  const auto verdict = fold.Apply(3, GuaranteedRow(1, edit.weight, edit.count));
+  EXPECT_EQ(verdict.accepted, edit.accepted) << verdict.reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(Edits,
+                         TableFoldShrunkFleet,
+                         testing::Values(ShrunkFleetCase{"other_column", 2, 8,
+                                                         true},
+                                         ShrunkFleetCase{"fewer", 1, 6, true},
+                                         ShrunkFleetCase{"none", 1, 0, true},
+                                         ShrunkFleetCase{"more", 1, 9, false}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::state
--- a/Tests/StandIns/Minion/minion.cc
+++ b/Tests/StandIns/Minion/minion.cc
@@ -30,7 +30,7 @@
 
 auto Minion::Serve(const net::HttpRequest& request, const net::HttpReply& reply)
     -> void {
-  if (request.path == "/v1/work") {
+  if (request.path == "/v1/run") {
     Work(request, reply);
     return;
   }
--- a/Tests/System/gang_protocol_test.py
+++ b/Tests/System/gang_protocol_test.py
@@ -102,6 +102,28 @@
         self.assertNotIn("worker-1", {s["worker"] for s in starts})
         self.check_journal()
 
+    def leases_on(self, worker):
+        return testing.call(self.system.worker(worker), "GET", "/v1/usage").json()["leases"]
+
+    def test_worker_killed_between_lease_and_start(self):
+        """The commit is held up while a leased worker dies; nothing of that attempt starts."""
+        self.system.platform_faults(delay_ms=1000)
+        job = self.submit(members=2, run_ms=500)
+        workers = [worker["id"] for worker in self.system.topology.workers]
+        victim = testing.wait_until(
+            lambda: next((w for w in workers if self.leases_on(w)), None), "a lease is taken"
+        )
+        self.system.kill(victim)
+        self.assertEqual(self.tasks(job, "started"), [])
+        self.system.platform_faults(delay_ms=0)
+        ended = self.system.wait_job("entry-1", "council", job, ENDED)
+        self.assertEqual((ended["status"], ended["attempt"]), ("done", 2))
+        starts = self.tasks(job, "started")
+        self.assertEqual({start["attempt"] for start in starts}, {2})
+        self.assertEqual(len(starts), 2)
+        self.assertNotIn(victim, {start["worker"] for start in starts})
+        self.check_journal()
+
     def run_until_worker_dies(self, recovery):
         job = self.submit(members=2, run_ms=60000, recovery=recovery)
         self.wait_started(job)
--- a/Utilities/kcm/commands.cc
+++ b/Utilities/kcm/commands.cc
@@ -223,7 +223,7 @@
 }
 
 auto WorkerList(Invocation& invocation) -> ExitCode {
-  return ShowCall(invocation, Get("/v1/workers"), RenderWorkers);
+  return ShowCall(invocation, Get("/v1/fleet/workers"), RenderWorkers);
 }
 
 auto ChangeCordon(Invocation& invocation, const std::string& verb) -> ExitCode {
@@ -235,7 +235,8 @@
   if (invocation.arguments.size() > 1) {
     body["reason"] = invocation.arguments[1];
   }
-  const auto path = "/v1/workers/" + invocation.arguments.front() + "/" + verb;
+  const auto path =
+      "/v1/fleet/workers/" + invocation.arguments.front() + "/" + verb;
   return ShowCall(invocation, {"POST", path, {}, {}, body.dump()},
                   RenderCordon);
 }
