--- a/Tests/LibState/table_fold_test.cc
+++ b/Tests/LibState/table_fold_test.cc
@@ -59,8 +59,8 @@
 }
 
 auto FleetOf(std::int64_t version, std::int64_t accelerators) -> Record {
-  const WorkerRecord worker{"worker-1", "hobart-a",  "rack-1",
-                            64,         1024 * 1024, accelerators};
+  const WorkerRecord worker{"worker-1", "hobart-a", "rack-1",
+                            64,         1048576,    accelerators};
   return MakeRecord(RecordKind::kFleetRecorded, "operator",
                     Fleet{version, {worker}});
 }
