--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -1,14 +1,16 @@
 #!/usr/bin/env python3
 """Runs a small Glintwater from the settings in Base/Glintwater, end to end.
 
-Usage: demo.py BUILD_FOLDER [--any-network]
+Usage: demo.py BUILD_FOLDER [--any-network] [--keep]
 
 With --any-network it uses the first free loopback network in place of the one
-in the settings, so that several demos can run at once.
+in the settings, so that several demos can run at once. With --keep it leaves the processes
+running until Ctrl-C, for calls by hand.
 """
 
 import concurrent.futures
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -102,6 +104,15 @@
         say(f"{name}: {answer.status} {answer.json()['message']}")
 
 
+def keep_running(system):
+    gateways = " ".join(system.gateway(entry) for entry in system.topology.entries)
+    say(f"running until Ctrl-C; gateways: {gateways}")
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        say("stopping")
+
+
 def main():
     network = None if "--any-network" in sys.argv else testing.BASE_NETWORK
     with testing.Cluster(testing.BUILD, network=network) as system:
@@ -113,6 +124,8 @@
         edit_row(system)
         run_gang(system)
         refuse_mistakes(system)
+        if "--keep" in sys.argv:
+            keep_running(system)
     say("demo: everything was seen to work; all processes are down")
 
 
