LibSchedule: Hold and preempt in one place

Cause: the guaranteed and the urgent pass wrote the same hold and preemptions twice; a measurement and a test built the same topology twice. Change: PlannerState::PreemptFor, and one_region_of_minions in the harness. Ruled out: merging the includes and main functions that only share a shape. Conclusion: behaviour is the same; checks and bounds are as they were.

--- a/Libraries/LibSchedule/guaranteed_pass.cc
+++ b/Libraries/LibSchedule/guaranteed_pass.cc
@@ -139,14 +139,7 @@
   }
   GuaranteeLedger::Charge(unit, seats, shape);
   Hold hold{job.id, shape, Standing::kGuaranteed, &unit, std::move(seats)};
-  hold.since = state_->now;
-  hold.preempt_at = state_->now;
-  hold.expected_ready = state_->now + state_->settings.reclaim_bound_ms;
-  for (auto* victim : plan->victims) {
-    hold.victims.push_back(victim->id);
-    state_->Preempt(*victim, job.id);
-  }
-  state_->AddHold(std::move(hold));
+  state_->PreemptFor(std::move(hold), plan->victims);
   return true;
 }
 
--- a/Libraries/LibSchedule/open_pass.cc
+++ b/Libraries/LibSchedule/open_pass.cc
@@ -135,14 +135,7 @@
     return false;
   }
   Hold hold{job.id, request.shape, standing, nullptr, std::move(plan->seats)};
-  hold.since = state_->now;
-  hold.preempt_at = state_->now;
-  hold.expected_ready = state_->now + state_->settings.reclaim_bound_ms;
-  for (auto* victim : plan->victims) {
-    hold.victims.push_back(victim->id);
-    state_->Preempt(*victim, job.id);
-  }
-  state_->AddHold(std::move(hold));
+  state_->PreemptFor(std::move(hold), plan->victims);
   return true;
 }
 
--- a/Libraries/LibSchedule/planner_state.cc
+++ b/Libraries/LibSchedule/planner_state.cc
@@ -89,6 +89,18 @@
   return members;
 }
 
+auto PlannerState::PreemptFor(Hold hold, const std::vector<Gang*>& victims)
+    -> void {
+  hold.since = now;
+  hold.preempt_at = now;
+  hold.expected_ready = now + settings.reclaim_bound_ms;
+  for (auto* victim : victims) {
+    hold.victims.push_back(victim->id);
+    Preempt(*victim, hold.job);
+  }
+  AddHold(std::move(hold));
+}
+
 auto PlannerState::AddHold(Hold hold) -> void {
   model.TakeHold(hold.seats, hold.shape);
   if (hold.standing == Standing::kFirm) {
--- a/Libraries/LibSchedule/planner_state.h
+++ b/Libraries/LibSchedule/planner_state.h
@@ -37,6 +37,8 @@
 
   /// Keeps seats for a waiting job; a unit is charged already.
   auto AddHold(Hold hold) -> void;
+  /// Keeps seats for a waiting job and preempts the gangs that sit on them.
+  auto PreemptFor(Hold hold, const std::vector<Gang*>& victims) -> void;
   /// Gives up the room; the job goes on waiting.
   auto CancelHold(const std::string& job) -> void;
   /// Cancels what is held for gangs without a claim to the room.
--- a/Meta/measure_requests.py
+++ b/Meta/measure_requests.py
@@ -28,13 +28,7 @@
 
 
 def topology():
-    return testing.Topology(
-        data_centres={"hobart-a": "tas-south", "hobart-b": "tas-south"},
-        entries={"entry-1": "hobart-a", "entry-2": "hobart-b", "entry-3": "hobart-b"},
-        workers=testing.rack_of_workers("hobart-a", "rack-1", 1),
-        minions={f"minion-{i}": f"hobart-{'ab'[i % 2]}" for i in range(MINIONS)},
-        minion_work_ms=WORK_MS,
-    )
+    return testing.one_region_of_minions(MINIONS, WORK_MS)
 
 
 def start(build, **gateway_settings):
--- a/Tests/System/cluster.py
+++ b/Tests/System/cluster.py
@@ -106,6 +106,17 @@
     )
 
 
+def one_region_of_minions(minions, work_ms):
+    """Three entry VMs and all minions in the two data centres of one region."""
+    return Topology(
+        data_centres={"hobart-a": "tas-south", "hobart-b": "tas-south"},
+        entries={"entry-1": "hobart-a", "entry-2": "hobart-b", "entry-3": "hobart-b"},
+        workers=rack_of_workers("hobart-a", "rack-1", 1),
+        minions={f"minion-{i}": f"hobart-{'ab'[i % 2]}" for i in range(minions)},
+        minion_work_ms=work_ms,
+    )
+
+
 class Answer:
     """An HTTP answer, whole."""
 
--- a/Tests/System/requests_overload_test.py
+++ b/Tests/System/requests_overload_test.py
@@ -21,13 +21,7 @@
 
 
 def one_region():
-    return testing.Topology(
-        data_centres={"hobart-a": "tas-south", "hobart-b": "tas-south"},
-        entries={"entry-1": "hobart-a", "entry-2": "hobart-b", "entry-3": "hobart-b"},
-        workers=testing.rack_of_workers("hobart-a", "rack-1", 1),
-        minions={f"minion-{i}": f"hobart-{'ab'[i % 2]}" for i in range(MINIONS)},
-        minion_work_ms=WORK_MS,
-    )
+    return testing.one_region_of_minions(MINIONS, WORK_MS)
 
 
 class Overload(unittest.TestCase):
