--- a/Libraries/LibCore/error_kind.cc
+++ b/Libraries/LibCore/error_kind.cc
@@ -18,6 +18,7 @@
                 false},
     ErrorAnswer{ErrorKind::kNotFound, "not_found", 404, Conclusion::kNotRun,
                 false},
+    ErrorAnswer{ErrorKind::kGone, "gone", 410, Conclusion::kNotRun, false},
     ErrorAnswer{ErrorKind::kConflict, "conflict", 409, Conclusion::kNotRun,
                 false},
     ErrorAnswer{ErrorKind::kNeverFits, "never_fits", 422, Conclusion::kNotRun,
--- a/Libraries/LibCore/error_kind.h
+++ b/Libraries/LibCore/error_kind.h
@@ -12,6 +12,7 @@
   kBadToken,
   kForbidden,
   kNotFound,
+  kGone,
   kConflict,
   kNeverFits,
   kOverLimit,
--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -10,6 +10,7 @@
 
 #include "LibCore/check.h"
 #include "LibCore/clock.h"
+#include "LibCore/unblocked_appender.h"
 
 namespace kcm::core {
 
@@ -45,11 +46,28 @@
     EventInfo{Event::kJobRefused, "job_refused", Severity::kWarning},
     EventInfo{Event::kWorkerCordoned, "worker_cordoned", Severity::kWarning},
     EventInfo{Event::kSchedulerPaused, "scheduler_paused", Severity::kWarning},
+    EventInfo{Event::kJobAccepted, "job_accepted", Severity::kInfo},
+    EventInfo{Event::kRunEnded, "run_ended", Severity::kInfo},
+    EventInfo{Event::kRunHung, "run_hung", Severity::kWarning},
+    EventInfo{Event::kRunEvicted, "run_evicted", Severity::kInfo},
+    EventInfo{Event::kStartRefused, "start_refused", Severity::kWarning},
+    EventInfo{Event::kWorkerListed, "worker_listed", Severity::kInfo},
+    EventInfo{Event::kWorkerUnlisted, "worker_unlisted", Severity::kInfo},
+    EventInfo{Event::kClaimFailed, "claim_failed", Severity::kInfo},
+    EventInfo{Event::kTermResigned, "term_resigned", Severity::kInfo},
+    EventInfo{Event::kHolderChanged, "holder_changed", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
+    EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
+    EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
+    EventInfo{Event::kSettingsReloaded, "settings_reloaded", Severity::kInfo},
+    EventInfo{Event::kSettingsRejected, "settings_rejected", Severity::kError},
     EventInfo{Event::kRequestRetried, "request_retried", Severity::kInfo},
     EventInfo{Event::kRequestUnknown, "request_unknown", Severity::kWarning},
     EventInfo{Event::kEndpointEjected, "endpoint_ejected", Severity::kWarning},
     EventInfo{Event::kEndpointLeaving, "endpoint_leaving", Severity::kInfo},
+    EventInfo{Event::kCallAnswered, "call_answered", Severity::kInfo},
+    EventInfo{Event::kCallRefused, "call_refused", Severity::kInfo},
+    EventInfo{Event::kReadyChanged, "ready_changed", Severity::kInfo},
 };
 
 struct LogOutput {
@@ -96,16 +114,24 @@
   return kCatalogue;
 }
 
-auto SetUpLogging(std::string_view process, bool as_json) -> void {
+auto NameOf(Event event) -> std::string_view {
+  return InfoOf(event).name;
+}
+
+auto SetUpLogging(std::string_view process, bool as_json, LogSink sink)
+    -> void {
   Output() = {std::string(process), as_json};
   const std::string pattern =
       as_json ? "%m%n" : "%d %-5p " + Output().process + " %m%n";
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
   auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
-  root->addAppender(appender);
+  if (sink == LogSink::kStandardOutput) {
+    root->addAppender(std::make_shared<UnblockedAppender>());
+  } else {
+    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr()));
+  }
   root->setLevel(log4cxx::Level::getInfo());
 }
 
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -38,11 +38,28 @@
   kJobRefused = 317,
   kWorkerCordoned = 318,
   kSchedulerPaused = 319,
+  kJobAccepted = 320,
+  kRunEnded = 321,
+  kRunHung = 322,
+  kRunEvicted = 323,
+  kStartRefused = 324,
+  kWorkerListed = 325,
+  kWorkerUnlisted = 326,
+  kClaimFailed = 327,
+  kTermResigned = 328,
+  kHolderChanged = 329,
   kRowEdited = 400,
+  kRoutesTaken = 401,
+  kRoutesRejected = 402,
+  kSettingsReloaded = 403,
+  kSettingsRejected = 404,
   kRequestRetried = 410,
   kRequestUnknown = 411,
   kEndpointEjected = 412,
   kEndpointLeaving = 413,
+  kCallAnswered = 420,
+  kCallRefused = 421,
+  kReadyChanged = 422,
 };
 
 /// Severity of a log event.
@@ -58,10 +75,20 @@
 /// Lists the whole catalogue in the order of the numbers.
 auto EventCatalogue() -> std::span<const EventInfo>;
 
-/// Sets up logging of this process to standard error.
+/// @return the event's name in the catalogue.
+auto NameOf(Event event) -> std::string_view;
+
+/// Where log lines go.
+enum class LogSink : std::uint8_t { kStandardError, kStandardOutput };
+
+/// Sets up logging of this process.
 /// @param process the name shown in each line, for example "entry-1/gateway".
 /// @param as_json one JSON object a line in place of text.
-auto SetUpLogging(std::string_view process, bool as_json) -> void;
+/// @param sink standard output never blocks: lines that its reader is too slow
+///     for are dropped, and the next line says how many.
+auto SetUpLogging(std::string_view process,
+                  bool as_json,
+                  LogSink sink = LogSink::kStandardError) -> void;
 
 /// Logs one event with its fields.
 auto LogEvent(Event event, const Json& fields = Json::object()) -> void;
--- /dev/null
+++ b/Libraries/LibCore/unblocked_appender.cc
@@ -0,0 +1,41 @@
+#include "LibCore/unblocked_appender.h"
+
+#include <fcntl.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
+
+#include <climits>
+#include <string>
+
+namespace kcm::core {
+
+namespace {
+
+/// A pipe takes a line of this size whole or not at all.
+constexpr std::size_t kMaxLineBytes = PIPE_BUF;
+
+auto WriteLine(std::string line) -> bool {
+  line.resize(std::min(line.size(), kMaxLineBytes - 1));
+  line.push_back('\n');
+  return write(STDOUT_FILENO, line.data(), line.size()) ==
+         static_cast<ssize_t>(line.size());
+}
+
+}  // namespace
+
+UnblockedAppender::UnblockedAppender() {
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+auto UnblockedAppender::append(const log4cxx::spi::LoggingEventPtr& event,
+                               log4cxx::helpers::Pool& /*pool*/) -> void {
+  if (dropped_ > 0 && WriteLine(R"({"name":"lines_dropped","lines":)" +
+                                std::to_string(dropped_) + "}")) {
+    dropped_ = 0;
+  }
+  if (!WriteLine(event->getMessage())) {
+    ++dropped_;
+  }
+}
+
+}  // namespace kcm::core
--- /dev/null
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -0,0 +1,379 @@
+#include "LibDispatch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kcm::dispatch {
+
+namespace {
+
+/// Pause between looks for jobs that nobody may ask for any more.
+constexpr core::Millis kPrunePeriodMs = 5000;
+/// An ended job is kept for this many times the span that callers are told.
+constexpr core::Millis kStatusMargin = 2;
+
+auto LogFields(const std::string& worker, const EndedRun& ended) -> core::Json {
+  return {{"job", ended.run.task.job},
+          {"step", ended.run.task.step},
+          {"task", ended.run.task.index},
+          {"attempt", ended.run.attempt},
+          {"worker", worker},
+          {"how", core::NameOf(ended.how)}};
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(DispatchSettings settings) : settings_(settings) {}
+
+auto Dispatcher::Recover(const std::vector<Row>& rows, core::Millis lapse_floor)
+    -> void {
+  lapse_floor_ = lapse_floor;
+  book_.Load(rows, [this](const std::string& key, const core::Reason& reason) {
+    AddNote(core::Event::kRecordRejected,
+            {{"key", key}, {"reason", reason.message}});
+  });
+  for (auto& [id, job] : book_.jobs()) {
+    if (IsEnded(job.phase)) {
+      continue;
+    }
+    for (auto& step : job.steps) {
+      for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto& task = step.tasks[index];
+        if (task.phase != TaskPhase::kPlaced) {
+          continue;
+        }
+        WorkerInfo info;
+        info.id = task.worker;
+        info.life = task.life;
+        auto& session =
+            sessions_.try_emplace(task.worker, info, settings_, lapse_floor)
+                .first->second;
+        session.SetListed(false);
+        Run run;
+        run.task = job.IdOf(step, index);
+        run.attempt = task.attempt;
+        run.demand = job.SpecOf(step).demand;
+        run.phase = RunPhase::kAdopted;
+        run.checkpoint = task.checkpoint;
+        session.Add(std::move(run));
+      }
+    }
+  }
+}
+
+auto Dispatcher::SetQueues(std::map<std::string, QueuePolicy> queues) -> void {
+  for (auto& [name, policy] : queues) {
+    queues_.insert_or_assign(name, std::move(policy));
+  }
+  next_plan_at_ = 0;
+}
+
+auto Dispatcher::SetGuarantees(std::map<std::string, std::int64_t> guarantees)
+    -> void {
+  guarantees_ = std::move(guarantees);
+  next_plan_at_ = 0;
+}
+
+auto Dispatcher::SetFleet(const std::vector<WorkerInfo>& workers, Moment now)
+    -> void {
+  for (auto& [id, session] : sessions_) {
+    session.SetListed(false);
+  }
+  for (const auto& info : workers) {
+    const auto [found, is_new] =
+        sessions_.try_emplace(info.id, info, settings_, lapse_floor_);
+    auto& session = found->second;
+    const auto old_life = session.info().life;
+    for (const auto& ended : session.Describe(info)) {
+      Apply(info.id, ended, now);
+    }
+    if (is_new || old_life != info.life) {
+      AddNote(core::Event::kWorkerListed,
+              {{"worker", info.id},
+               {"life", info.life},
+               {"rack", info.rack},
+               {"draining", info.draining}});
+    }
+  }
+  next_plan_at_ = 0;
+}
+
+auto Dispatcher::PolicyOf(const Job& job) const -> const QueuePolicy& {
+  const auto found = queues_.find(job.spec.queue);
+  return found == queues_.end() ? job.spec.policy : found->second;
+}
+
+auto Dispatcher::Submit(JobSpec spec, Moment now) -> JobView {
+  if (const auto known = Find(spec.id)) {
+    return *known;
+  }
+  spec.accepted_at = now.wall;
+  auto& job = book_.Add(std::move(spec));
+  job.batch = next_batch_;
+  next_plan_at_ = 0;
+  AddNote(core::Event::kJobAccepted,
+          {{"job", job.spec.id},
+           {"queue", job.spec.queue},
+           {"account", job.spec.account},
+           {"steps", job.spec.steps.size()},
+           {"batch", job.batch}});
+  return {job.phase, job.batch};
+}
+
+auto Dispatcher::Find(const std::string& id) const -> std::optional<JobView> {
+  const auto* job = book_.Find(id);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  return JobView{job->phase, job->batch};
+}
+
+auto Dispatcher::AccountOf(const std::string& id) const -> std::string {
+  const auto* job = book_.Find(id);
+  return job == nullptr ? "" : job->spec.account;
+}
+
+auto Dispatcher::Cancel(const std::string& id, Moment now)
+    -> std::optional<JobView> {
+  auto* job = book_.Find(id);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  if (!IsEnded(job->phase)) {
+    EndJob(*job, JobPhase::kCancelled, now);
+  }
+  return JobView{job->phase, job->batch};
+}
+
+auto Dispatcher::TakeBatch() -> std::optional<Batch> {
+  if (!book_.has_rows()) {
+    return std::nullopt;
+  }
+  return Batch{next_batch_++, book_.TakeRows()};
+}
+
+auto Dispatcher::GateOf() const -> std::uint64_t {
+  return book_.has_rows() ? next_batch_ : next_batch_ - 1;
+}
+
+auto Dispatcher::TakeCalls(Moment now, bool may_renew)
+    -> std::vector<WorkerCall> {
+  Tick(now);
+  std::vector<WorkerCall> calls;
+  for (auto& [id, session] : sessions_) {
+    auto more = session.TakeCalls(now.steady, stored_, may_renew);
+    std::move(more.begin(), more.end(), std::back_inserter(calls));
+  }
+  return calls;
+}
+
+auto Dispatcher::OnResult(const WorkerCall& call,
+                          const CallResult& result,
+                          Moment now) -> void {
+  const auto found = sessions_.find(call.worker);
+  if (found == sessions_.end() || found->second.info().life != call.life) {
+    return;
+  }
+  auto& session = found->second;
+  if (const auto* start = std::get_if<StartCall>(&call.what)) {
+    if (result.end != CallEnd::kDone) {
+      AddNote(core::Event::kStartRefused,
+              {{"job", start->task.job},
+               {"task", start->task.index},
+               {"attempt", start->attempt},
+               {"worker", call.worker},
+               {"how", core::NameOf(result.end)}});
+      if (result.end != CallEnd::kSuperseded && result.end != CallEnd::kLate) {
+        health_.Refused(call.worker, now.steady);
+      }
+    }
+    if (const auto ended = session.OnStart(*start, result, now.steady)) {
+      Apply(call.worker, *ended, now);
+    }
+  } else if (const auto* stop = std::get_if<StopCall>(&call.what)) {
+    session.OnStop(*stop, result, now.steady);
+  } else if (const auto* look = std::get_if<LookCall>(&call.what)) {
+    const auto gone =
+        session.OnLook(*look, result, call.sent_at, now.steady);
+    for (const auto& ended : gone) {
+      Apply(call.worker, ended, now);
+    }
+    session.NoteEnds(GateOf());
+  }
+  next_plan_at_ = std::min(next_plan_at_, now.steady);
+}
+
+auto Dispatcher::Apply(const std::string& worker,
+                       const EndedRun& ended,
+                       Moment now) -> void {
+  AddNote(core::Event::kRunEnded, LogFields(worker, ended));
+  next_plan_at_ = 0;
+  auto* job = book_.Find(ended.run.task.job);
+  auto* task = job == nullptr ? nullptr : job->FindTask(ended.run.task);
+  if (task == nullptr || IsEnded(job->phase)) {
+    return;
+  }
+  auto& step = *job->FindStep(ended.run.task);
+  const auto& spec = job->SpecOf(step);
+  const auto is_newest = task->phase == TaskPhase::kPlaced &&
+                         task->attempt == ended.run.attempt;
+  if (ended.how == RunEnd::kDone && !spec.long_running) {
+    ApplyDone(*job, step, ended, now);
+    return;
+  }
+  if (is_newest && !ended.run.checkpoint.empty()) {
+    for (auto& member : step.tasks) {
+      if (spec.gang) {
+        member.checkpoint = ended.run.checkpoint;
+      }
+    }
+    task->checkpoint = ended.run.checkpoint;
+  }
+  if (ended.how == RunEnd::kFailed && !spec.long_running) {
+    ApplyFailed(*job, step, worker, ended, now);
+    if (IsEnded(job->phase)) {
+      return;
+    }
+  }
+  if (is_newest) {
+    Release(*job, step, static_cast<std::size_t>(ended.run.task.index), now);
+  }
+}
+
+auto Dispatcher::ApplyDone(Job& job,
+                           Step& step,
+                           const EndedRun& ended,
+                           Moment now) -> void {
+  auto* task = job.FindTask(ended.run.task);
+  if (task->phase == TaskPhase::kDone) {
+    return;
+  }
+  Learn(job, step, ended, now);
+  health_.Succeeded(task->worker);
+  const auto is_gang = job.SpecOf(step).gang;
+  for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+    auto& member = step.tasks[index];
+    const auto is_ended = static_cast<std::int64_t>(index) == ended.run.task.index;
+    if (member.phase == TaskPhase::kDone || (!is_ended && !is_gang)) {
+      continue;
+    }
+    if (member.phase == TaskPhase::kPlaced &&
+        member.attempt != ended.run.attempt) {
+      StopRun(job.IdOf(step, index), now);
+    }
+    member.phase = TaskPhase::kDone;
+    ++step.done;
+    book_.StoreTask(job, step, index);
+  }
+  if (job.IsDone()) {
+    EndJob(job, JobPhase::kCompleted, now);
+  }
+}
+
+auto Dispatcher::ApplyFailed(Job& job,
+                             Step& step,
+                             const std::string& worker,
+                             const EndedRun& ended,
+                             Moment now) -> void {
+  const auto is_gang = job.SpecOf(step).gang;
+  const auto counter =
+      is_gang ? std::size_t{0}
+              : static_cast<std::size_t>(ended.run.task.index);
+  auto& ledger = step.tasks[counter];
+  ledger.avoid.insert(worker);
+  if (health_.Failed(worker, job.spec.id, now.steady)) {
+    AddNote(core::Event::kWorkerCordoned,
+            {{"worker", worker}, {"reason", "runs of several jobs failed"}});
+  }
+  if (ended.run.attempt <= ledger.failed_attempt) {
+    return;
+  }
+  ledger.failed_attempt = ended.run.attempt;
+  ++ledger.failures;
+  book_.StoreTask(job, step, counter);
+  if (ledger.failures >= PolicyOf(job).max_attempts) {
+    EndJob(job, JobPhase::kFailed, now);
+  }
+}
+
+auto Dispatcher::Release(Job& job, Step& step, std::size_t index, Moment now)
+    -> void {
+  auto& task = step.tasks[index];
+  task.phase = TaskPhase::kWaiting;
+  book_.StoreTask(job, step, index);
+  if (job.SpecOf(step).gang) {
+    StopStep(job, step, now);
+  }
+}
+
+auto Dispatcher::Learn(const Job& job,
+                       const Step& step,
+                       const EndedRun& ended,
+                       Moment now) -> void {
+  if (!ended.run.started_at || !ended.run.checkpoint.empty()) {
+    // The run was adopted or resumed: its span says nothing of the whole.
+    return;
+  }
+  estimates_.Learn(job.spec.queue, job.SpecOf(step).estimate_ms,
+                   now.steady - *ended.run.started_at);
+}
+
+auto Dispatcher::StopRun(const TaskId& id, Moment now) -> void {
+  auto* job = book_.Find(id.job);
+  auto* task = job == nullptr ? nullptr : job->FindTask(id);
+  const auto session =
+      task == nullptr ? sessions_.end() : sessions_.find(task->worker);
+  if (session == sessions_.end()) {
+    return;
+  }
+  if (const auto gone = session->second.Stop(id, now.steady)) {
+    Apply(session->first, *gone, now);
+  }
+}
+
+auto Dispatcher::StopStep(Job& job, Step& step, Moment now) -> void {
+  for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+    if (step.tasks[index].phase == TaskPhase::kPlaced) {
+      StopRun(job.IdOf(step, index), now);
+    }
+  }
+}
+
+auto Dispatcher::EndJob(Job& job, JobPhase phase, Moment now) -> void {
+  book_.End(job, phase, now.wall);
+  job.batch = next_batch_;
+  next_plan_at_ = 0;
+  for (auto& step : job.steps) {
+    StopStep(job, step, now);
+  }
+  AddNote(core::Event::kJobEnded,
+          {{"job", job.spec.id},
+           {"queue", job.spec.queue},
+           {"status", core::NameOf(phase)},
+           {"age_ms", now.wall - job.spec.accepted_at},
+           {"batch", job.batch}});
+}
+
+auto Dispatcher::Tick(Moment now) -> void {
+  for (auto session = sessions_.begin(); session != sessions_.end();) {
+    for (const auto& ended : session->second.TakeLapsed(now.steady)) {
+      Apply(session->first, ended, now);
+    }
+    if (!session->second.is_listed() && session->second.is_idle()) {
+      AddNote(core::Event::kWorkerUnlisted, {{"worker", session->first}});
+      session = sessions_.erase(session);
+    } else {
+      ++session;
+    }
+  }
+  StopHungRuns(now);
+  if (now.steady >= next_prune_at_) {
+    next_prune_at_ = now.steady + kPrunePeriodMs;
+    book_.Prune(now.wall - kStatusMargin * settings_.status_ms);
+  }
+  if (now.steady >= next_plan_at_) {
+    Plan(now);
+  }
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -0,0 +1,347 @@
+#include <algorithm>
+#include <utility>
+
+#include "LibDispatch/dispatcher.h"
+
+namespace kcm::dispatch {
+
+namespace {
+
+/// Pause between two plans while nothing changes.
+constexpr core::Millis kPlanPeriodMs = 250;
+/// A run whose percentage stands still this long is hung: the slowest runs
+/// that we know of gain a percent in a third of that.
+constexpr core::Millis kHungMs = 3000;
+/// Room that is being made for guaranteed work is given this long.
+constexpr core::Millis kEvictionMs = 800;
+/// Gangs for which room is kept at the same time.
+constexpr int kMaxReservations = 2;
+/// Weight of an accelerator against a core in work that is thrown away.
+constexpr double kCoresPerAccelerator = 8;
+constexpr double kMillicoresPerCore = 1000;
+constexpr double kWholePercent = 100;
+
+auto WeightOf(const Resources& demand) -> double {
+  return static_cast<double>(demand.millicores) / kMillicoresPerCore +
+         kCoresPerAccelerator * static_cast<double>(demand.accelerators);
+}
+
+}  // namespace
+
+auto Dispatcher::StopHungRuns(Moment now) -> void {
+  std::vector<TaskId> hung;
+  for (const auto& [id, session] : sessions_) {
+    for (const auto& [task, run] : session.runs()) {
+      const auto* job = book_.Find(task.job);
+      if (run.phase == RunPhase::kRunning && run.percent < kWholePercent &&
+          session.is_answering() && now.steady - run.moved_at > kHungMs &&
+          job != nullptr && !IsEnded(job->phase)) {
+        hung.push_back(task);
+      }
+    }
+  }
+  for (const auto& id : hung) {
+    auto* job = book_.Find(id.job);
+    auto* step = job->FindStep(id);
+    const auto& spec = job->SpecOf(*step);
+    auto* task = job->FindTask(id);
+    if (task->phase != TaskPhase::kPlaced || spec.long_running) {
+      continue;
+    }
+    step->tasks[spec.gang ? 0 : static_cast<std::size_t>(id.index)]
+        .avoid.insert(task->worker);
+    if (!spec.gang) {
+      // In a gang all members stand still, whichever of them hangs.
+      health_.Hung(task->worker, now.steady);
+    }
+    AddNote(core::Event::kRunHung, {{"job", id.job},
+                                    {"task", id.index},
+                                    {"attempt", task->attempt},
+                                    {"worker", task->worker}});
+    StopRun(id, now);
+  }
+}
+
+auto Dispatcher::Plan(Moment now) -> void {
+  next_plan_at_ = now.steady + kPlanPeriodMs;
+  const auto covered = CoveredJobs();
+  auto units = WaitingUnits(covered, now);
+  if (units.empty()) {
+    return;
+  }
+  auto fleet = ViewFleet(covered, now);
+  if (fleet.slots.empty()) {
+    return;
+  }
+  std::stable_sort(units.begin(), units.end(),
+                   [](const Unit& left, const Unit& right) {
+                     return left.rank < right.rank;
+                   });
+  int reservations = 0;
+  for (auto& unit : units) {
+    PlanUnit(unit, fleet, reservations, now);
+  }
+}
+
+auto Dispatcher::CoveredJobs() const -> std::map<std::string, bool> {
+  std::vector<const Job*> urgent;
+  for (const auto& [id, job] : book_.jobs()) {
+    if (!IsEnded(job.phase) && PolicyOf(job).priority == 0) {
+      urgent.push_back(&job);
+    }
+  }
+  std::stable_sort(urgent.begin(), urgent.end(),
+                   [](const Job* left, const Job* right) {
+                     return left->spec.accepted_at < right->spec.accepted_at;
+                   });
+  std::map<std::string, std::int64_t> used;
+  std::map<std::string, bool> covered;
+  for (const auto* job : urgent) {
+    std::int64_t need = 0;
+    for (const auto& step : job->spec.steps) {
+      need = std::max(need, step.tasks * step.demand.accelerators);
+    }
+    const auto guarantee = guarantees_.find(job->spec.account);
+    auto& sum = used[job->spec.account];
+    if (guarantee != guarantees_.end() && sum + need <= guarantee->second) {
+      sum += need;
+      covered[job->spec.id] = true;
+    }
+  }
+  return covered;
+}
+
+auto Dispatcher::WaitingUnits(const std::map<std::string, bool>& covered,
+                              Moment now) -> std::vector<Unit> {
+  std::vector<Unit> units;
+  for (auto& [id, job] : book_.jobs()) {
+    if (IsEnded(job.phase)) {
+      continue;
+    }
+    std::optional<JobRank> rank;
+    for (auto& step : job.steps) {
+      if (step.done == static_cast<std::int64_t>(step.tasks.size()) ||
+          now.wall < step.due_at || !job.IsUnlocked(step)) {
+        continue;
+      }
+      Unit unit{&job, &step, {}, {}};
+      for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::kWaiting) {
+          unit.tasks.push_back(index);
+        }
+      }
+      if (unit.tasks.empty() ||
+          (job.SpecOf(step).gang && unit.tasks.size() < step.tasks.size())) {
+        continue;
+      }
+      if (!rank) {
+        rank = RankOf(job, PolicyOf(job), estimates_, covered.contains(id),
+                      now.wall);
+      }
+      unit.rank = *rank;
+      units.push_back(std::move(unit));
+    }
+  }
+  return units;
+}
+
+auto Dispatcher::SeatedRunOf(const Run& run,
+                             const std::map<std::string, bool>& covered,
+                             Moment now) -> SeatedRun {
+  SeatedRun seated;
+  seated.task = run.task;
+  seated.demand = run.demand;
+  seated.stopping = run.phase == RunPhase::kStopping;
+  seated.expected_end = now.steady;
+  auto* job = book_.Find(run.task.job);
+  auto* step = job == nullptr ? nullptr : job->FindStep(run.task);
+  if (step == nullptr || seated.stopping || IsEnded(job->phase)) {
+    return seated;
+  }
+  const auto& spec = job->SpecOf(*step);
+  const auto elapsed = run.started_at ? now.steady - *run.started_at : 0;
+  const auto expected = ExpectedRunMs(*job, spec, estimates_);
+  if (run.percent > 0 && elapsed > 0) {
+    seated.expected_end +=
+        static_cast<core::Millis>(static_cast<double>(elapsed) *
+                                  (kWholePercent - run.percent) / run.percent);
+  } else {
+    seated.expected_end += std::max<core::Millis>(expected - elapsed, 0);
+  }
+  const auto members = spec.gang ? static_cast<double>(spec.tasks) : 1.0;
+  const auto lost = spec.checkpoints
+                        ? std::min(elapsed, settings_.checkpoint_ms)
+                        : elapsed;
+  seated.loss =
+      members * WeightOf(run.demand) * static_cast<double>(lost + 1);
+  seated.evictable = !covered.contains(run.task.job);
+  return seated;
+}
+
+auto Dispatcher::ViewFleet(const std::map<std::string, bool>& covered,
+                           Moment now) -> FleetView {
+  FleetView fleet;
+  for (const auto& [id, session] : sessions_) {
+    if (!session.is_usable() || health_.IsCordoned(id, now.steady)) {
+      continue;
+    }
+    WorkerSlot slot;
+    slot.info = &session.info();
+    slot.free = session.info().capacity;
+    slot.free -= session.used();
+    for (const auto& [task, run] : session.runs()) {
+      slot.runs.push_back(SeatedRunOf(run, covered, now));
+      if (slot.runs.back().stopping) {
+        slot.stopping += run.demand;
+      }
+    }
+    fleet.slots.push_back(std::move(slot));
+  }
+  std::stable_sort(fleet.slots.begin(), fleet.slots.end(),
+                   [](const WorkerSlot& left, const WorkerSlot& right) {
+                     return left.info->rack < right.info->rack;
+                   });
+  for (std::size_t index = 0; index < fleet.slots.size(); ++index) {
+    const auto starts_rack =
+        index == 0 ||
+        fleet.slots[index].info->rack != fleet.slots[index - 1].info->rack;
+    if (starts_rack) {
+      fleet.racks.emplace_back(index, index);
+    }
+    fleet.racks.back().second = index + 1;
+  }
+  return fleet;
+}
+
+auto Dispatcher::RequestOf(const Unit& unit,
+                           const FleetView& fleet,
+                           Moment now) const -> SeatRequest {
+  const auto& spec = unit.job->SpecOf(*unit.step);
+  SeatRequest request;
+  request.step = &spec;
+  request.service = PolicyOf(*unit.job).service;
+  request.tasks = static_cast<std::int64_t>(unit.tasks.size());
+  request.now = now.steady;
+  request.run_ms = ExpectedRunMs(*unit.job, spec, estimates_);
+  for (const auto& task : unit.step->tasks) {
+    if (task.phase == TaskPhase::kPlaced) {
+      ++request.seated[task.worker];
+    }
+    request.avoid.insert(task.avoid.begin(), task.avoid.end());
+  }
+  if (!request.avoid.empty() && !CanEverFit(fleet, request)) {
+    request.avoid.clear();
+  }
+  return request;
+}
+
+auto Dispatcher::PlanUnit(Unit& unit,
+                          FleetView& fleet,
+                          int& reservations,
+                          Moment now) -> void {
+  const auto& spec = unit.job->SpecOf(*unit.step);
+  auto request = RequestOf(unit, fleet, now);
+  auto seats = FindSeats(fleet, request);
+  if (!seats.empty()) {
+    Place(unit, seats, fleet, now);
+    if (unit.tasks.empty()) {
+      return;
+    }
+    request = RequestOf(unit, fleet, now);
+  }
+  const auto guaranteed = unit.rank.tier == JobTier::kGuaranteed;
+  if (guaranteed) {
+    Evict(unit, request, fleet, now);
+    return;
+  }
+  if (!spec.gang || reservations >= kMaxReservations) {
+    return;
+  }
+  if (const auto future = FindFutureSeats(fleet, request)) {
+    ++reservations;
+    for (const auto seat : future->seats) {
+      auto& slot = fleet.slots[seat];
+      slot.reserved += spec.demand;
+      slot.reserved_until = std::max(slot.reserved_until, future->at);
+    }
+  }
+}
+
+auto Dispatcher::Place(Unit& unit,
+                       const Seats& seats,
+                       FleetView& fleet,
+                       Moment now) -> void {
+  auto& job = *unit.job;
+  auto& step = *unit.step;
+  const auto& spec = job.SpecOf(step);
+  std::int64_t newest = 0;
+  for (const auto& task : step.tasks) {
+    newest = std::max(newest, task.attempt);
+  }
+  for (std::size_t number = 0; number < seats.size(); ++number) {
+    auto& slot = fleet.slots[seats[number]];
+    const auto index = unit.tasks[number];
+    auto& task = step.tasks[index];
+    task.phase = TaskPhase::kPlaced;
+    task.attempt = (spec.gang ? newest : task.attempt) + 1;
+    task.worker = slot.info->id;
+    task.life = slot.info->life;
+    book_.StoreTask(job, step, index);
+    Run run;
+    run.task = job.IdOf(step, index);
+    run.attempt = task.attempt;
+    run.demand = spec.demand;
+    run.batch = next_batch_;
+    run.payload = job.spec.payload;
+    run.checkpoint = spec.gang ? step.tasks[0].checkpoint : task.checkpoint;
+    run.placed_at = now.steady;
+    sessions_.at(slot.info->id).Add(std::move(run));
+    slot.free -= spec.demand;
+  }
+  AddNote(core::Event::kJobPlaced,
+          {{"job", job.spec.id},
+           {"step", step.spec},
+           {"tasks", seats.size()},
+           {"attempt", step.tasks[unit.tasks[0]].attempt},
+           {"first_worker", fleet.slots[seats[0]].info->id},
+           {"tier", static_cast<int>(unit.rank.tier)},
+           {"urgency_ms", static_cast<std::int64_t>(unit.rank.urgency)},
+           {"age_ms", now.wall - job.spec.accepted_at}});
+  job.phase = JobPhase::kRunning;
+  unit.tasks.erase(unit.tasks.begin(),
+                   unit.tasks.begin() + static_cast<std::ptrdiff_t>(seats.size()));
+}
+
+auto Dispatcher::Evict(const Unit& unit,
+                       const SeatRequest& request,
+                       FleetView& fleet,
+                       Moment now) -> void {
+  const auto& spec = unit.job->SpecOf(*unit.step);
+  const auto key = unit.job->IdOf(*unit.step, 0);
+  auto seats = FindSeatsAfterStops(fleet, request);
+  auto& until = evicting_until_[key];
+  if (static_cast<std::int64_t>(seats.size()) < request.tasks &&
+      now.steady >= until) {
+    if (const auto plan = FindEvictions(fleet, request)) {
+      until = now.steady + kEvictionMs;
+      for (const auto& victim : plan->victims) {
+        auto* job = book_.Find(victim.job);
+        AddNote(core::Event::kRunEvicted, {{"job", victim.job},
+                                           {"task", victim.index},
+                                           {"for_job", unit.job->spec.id}});
+        if (job->SpecOf(*job->FindStep(victim)).gang) {
+          StopStep(*job, *job->FindStep(victim), now);
+        } else {
+          StopRun(victim, now);
+        }
+      }
+      seats = plan->seats;
+    }
+  }
+  // Nobody else may take the room that is being made.
+  for (const auto seat : seats) {
+    fleet.slots[seat].free -= spec.demand;
+  }
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/job_book.cc
@@ -0,0 +1,230 @@
+#include "LibDispatch/job_book.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "LibCore/json.h"
+
+namespace kcm::dispatch {
+
+namespace {
+
+using core::Json;
+
+constexpr std::string_view kJobPrefix = "j/";
+constexpr std::string_view kTaskPrefix = "t/";
+
+auto ToText(const Json& document) -> std::string {
+  const auto bytes = Json::to_msgpack(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+auto FromText(const std::string& text) -> Json {
+  return Json::from_msgpack(text, true, false);
+}
+
+auto JobKey(const std::string& id) -> std::string {
+  return std::string(kJobPrefix) + id;
+}
+
+auto TaskKey(const TaskId& id) -> std::string {
+  return std::string(kTaskPrefix) + id.job + "." +
+         std::to_string(id.occurrence) + "." + std::to_string(id.step) + "." +
+         std::to_string(id.index);
+}
+
+auto ToNumber(std::string_view text) -> std::optional<std::int64_t> {
+  std::int64_t number = 0;
+  const auto* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+auto ParseTaskKey(std::string_view key) -> std::optional<TaskId> {
+  key.remove_prefix(kTaskPrefix.size());
+  std::array<std::int64_t, 3> numbers{};
+  for (auto number = numbers.rbegin(); number != numbers.rend(); ++number) {
+    const auto dot = key.rfind('.');
+    if (dot == std::string_view::npos) {
+      return std::nullopt;
+    }
+    const auto value = ToNumber(key.substr(dot + 1));
+    if (!value) {
+      return std::nullopt;
+    }
+    *number = *value;
+    key.remove_suffix(key.size() - dot);
+  }
+  return TaskId{std::string(key), numbers[0], numbers[1], numbers[2]};
+}
+
+auto RowOfJob(const Job& job) -> Row {
+  Json document = {{"phase", job.phase}, {"ended_at", job.ended_at}};
+  if (IsEnded(job.phase)) {
+    document["queue"] = job.spec.queue;
+    document["account"] = job.spec.account;
+  } else {
+    document["spec"] = job.spec;
+  }
+  return {JobKey(job.spec.id), ToText(document)};
+}
+
+auto RowOfTask(const TaskId& id, const Task& task) -> Row {
+  return {TaskKey(id),
+          ToText(Json::array({static_cast<int>(task.phase), task.attempt,
+                              task.failures, task.failed_attempt, task.worker,
+                              task.life, task.checkpoint}))};
+}
+
+auto Unreadable(core::Reason& reason, const std::string& why) -> bool {
+  reason = {core::ErrorKind::kBadInput, "", why};
+  return false;
+}
+
+}  // namespace
+
+auto JobBook::Load(
+    const std::vector<Row>& rows,
+    const std::function<void(const std::string& key,
+                             const core::Reason& reason)>& rejected) -> void {
+  using Loader = auto (JobBook::*)(const Row&, core::Reason&)->bool;
+  struct Pass {
+    std::string_view prefix;
+    Loader load;
+  };
+  // A task's row means nothing before its job is known.
+  constexpr std::array kPasses = {Pass{kJobPrefix, &JobBook::LoadJob},
+                                  Pass{kTaskPrefix, &JobBook::LoadTask}};
+  for (const auto& pass : kPasses) {
+    for (const auto& row : rows) {
+      core::Reason reason;
+      if (row.key.starts_with(pass.prefix) && !row.value.empty() &&
+          !(this->*pass.load)(row, reason)) {
+        rejected(row.key, reason);
+      }
+    }
+  }
+}
+
+auto JobBook::LoadJob(const Row& row, core::Reason& reason) -> bool {
+  const auto document = FromText(row.value);
+  if (!document.is_object()) {
+    return Unreadable(reason, "The row of a job is no object.");
+  }
+  const auto id = row.key.substr(kJobPrefix.size());
+  try {
+    JobSpec spec;
+    if (document.contains("spec")) {
+      spec = document.at("spec").get<JobSpec>();
+    } else {
+      spec.queue = document.value("queue", "");
+      spec.account = document.value("account", "");
+    }
+    spec.id = id;
+    auto job = MakeJob(std::move(spec));
+    job.phase = document.at("phase").get<JobPhase>();
+    job.ended_at = document.value("ended_at", core::Millis{0});
+    jobs_.insert_or_assign(id, std::move(job));
+  } catch (const Json::exception& error) {
+    return Unreadable(reason, error.what());
+  }
+  return true;
+}
+
+auto JobBook::LoadTask(const Row& row, core::Reason& reason) -> bool {
+  const auto id = ParseTaskKey(row.key);
+  auto* job = id ? Find(id->job) : nullptr;
+  auto* task = job == nullptr ? nullptr : job->FindTask(*id);
+  if (task == nullptr) {
+    return Unreadable(reason, "The row names no task of a known job.");
+  }
+  const auto document = FromText(row.value);
+  try {
+    task->phase = static_cast<TaskPhase>(document.at(0).get<int>());
+    task->attempt = document.at(1);
+    task->failures = document.at(2);
+    task->failed_attempt = document.at(3);
+    task->worker = document.at(4);
+    task->life = document.at(5);
+    task->checkpoint = document.at(6);
+    task->stored = true;
+  } catch (const Json::exception& error) {
+    return Unreadable(reason, error.what());
+  }
+  auto* step = job->FindStep(*id);
+  step->done += task->phase == TaskPhase::kDone ? 1 : 0;
+  if (task->attempt > 0 && job->phase == JobPhase::kQueued) {
+    job->phase = JobPhase::kRunning;
+  }
+  return true;
+}
+
+auto JobBook::Add(JobSpec spec) -> Job& {
+  const auto id = spec.id;
+  auto& job = jobs_.insert_or_assign(id, MakeJob(std::move(spec))).first->second;
+  rows_.push_back(RowOfJob(job));
+  return job;
+}
+
+auto JobBook::Find(const std::string& id) -> Job* {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto JobBook::Find(const std::string& id) const -> const Job* {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+auto JobBook::StoreTask(Job& job, const Step& step, std::size_t index) -> void {
+  const auto id = job.IdOf(step, index);
+  auto* task = job.FindTask(id);
+  task->stored = true;
+  rows_.push_back(RowOfTask(id, *task));
+}
+
+auto JobBook::End(Job& job, JobPhase phase, core::Millis now) -> void {
+  job.phase = phase;
+  job.ended_at = now;
+  rows_.push_back(RowOfJob(job));
+  for (auto& step : job.steps) {
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+      if (std::exchange(step.tasks[index].stored, false)) {
+        rows_.push_back({TaskKey(job.IdOf(step, index)), ""});
+      }
+    }
+  }
+}
+
+auto JobBook::Prune(core::Millis ended_before) -> void {
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (IsEnded(job->second.phase) && job->second.ended_at < ended_before) {
+      rows_.push_back({JobKey(job->first), ""});
+      job = jobs_.erase(job);
+    } else {
+      ++job;
+    }
+  }
+}
+
+auto JobBook::PendingByQueue() const -> std::map<std::string, std::int64_t> {
+  std::map<std::string, std::int64_t> pending;
+  for (const auto& [id, job] : jobs_) {
+    if (job.phase == JobPhase::kQueued) {
+      ++pending[job.spec.queue];
+    }
+  }
+  return pending;
+}
+
+auto JobBook::TakeRows() -> std::vector<Row> {
+  return std::exchange(rows_, {});
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/job_order.cc
@@ -0,0 +1,92 @@
+#include "LibDispatch/job_order.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace kcm::dispatch {
+
+namespace {
+
+/// Share of a chain by which estimates may be over before a job counts as
+/// late: callers declare run times only roughly.
+constexpr double kEstimateTolerance = 0.3;
+/// Results are of some use up to this many times the objective.
+constexpr double kLatestUse = 3;
+
+auto WorkLeft(const Job& job, const schedule::RunTimeEstimate& estimates)
+    -> double {
+  double work = 0;
+  for (const auto& step : job.steps) {
+    const auto& spec = job.SpecOf(step);
+    const auto left = spec.tasks - step.done;
+    work += static_cast<double>(left * ExpectedRunMs(job, spec, estimates) *
+                                std::max<std::int64_t>(
+                                    spec.demand.accelerators, 1));
+  }
+  return work;
+}
+
+}  // namespace
+
+auto ExpectedRunMs(const Job& job,
+                   const StepSpec& step,
+                   const schedule::RunTimeEstimate& estimates)
+    -> core::Millis {
+  return std::max<core::Millis>(
+      estimates.Expect(job.spec.queue, std::max<core::Millis>(
+                                           step.estimate_ms, 1)),
+      1);
+}
+
+auto LongestChainMs(const Job& job,
+                    const schedule::RunTimeEstimate& estimates,
+                    bool whole) -> core::Millis {
+  std::vector<core::Millis> ends(job.steps.size());
+  core::Millis longest = 0;
+  const auto stride = job.spec.steps.size();
+  for (std::size_t index = 0; index < job.steps.size(); ++index) {
+    const auto& step = job.steps[index];
+    const auto& spec = job.SpecOf(step);
+    const auto first = index - index % stride;
+    core::Millis begin = 0;
+    for (const auto before : spec.after) {
+      begin = std::max(begin, ends[first + static_cast<std::size_t>(before)]);
+    }
+    const auto is_done =
+        !whole && step.done == static_cast<std::int64_t>(step.tasks.size());
+    ends[index] =
+        begin + (is_done ? 0 : ExpectedRunMs(job, spec, estimates));
+    longest = std::max(longest, ends[index]);
+  }
+  return longest;
+}
+
+auto RankOf(const Job& job,
+            const QueuePolicy& policy,
+            const schedule::RunTimeEstimate& estimates,
+            bool guaranteed,
+            core::Millis now) -> JobRank {
+  const auto chain = static_cast<double>(LongestChainMs(job, estimates, true));
+  const auto left = static_cast<double>(LongestChainMs(job, estimates, false));
+  const auto objective =
+      policy.slack_factor * chain + static_cast<double>(policy.target_latency_ms);
+  const auto age = static_cast<double>(now - job.spec.accepted_at);
+  JobRank rank;
+  rank.priority = policy.priority;
+  rank.accepted_at = job.spec.accepted_at;
+  rank.urgency = objective - age - left;
+  if (guaranteed) {
+    rank.tier = JobTier::kGuaranteed;
+    return rank;
+  }
+  if (rank.urgency > -kEstimateTolerance * left) {
+    rank.tier = JobTier::kInTime;
+    return rank;
+  }
+  rank.tier = age + left < kLatestUse * objective ? JobTier::kLate
+                                                  : JobTier::kExpired;
+  rank.urgency = WorkLeft(job, estimates);
+  return rank;
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/job_phase.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "LibCore/enum_names.h"
+
+namespace kcm::dispatch {
+
+/// How far a job has come.
+enum class JobPhase : std::uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+
+/// @return whether nothing of the job will run any more.
+[[nodiscard]] constexpr auto IsEnded(JobPhase phase) -> bool {
+  return phase == JobPhase::kCompleted || phase == JobPhase::kFailed ||
+         phase == JobPhase::kCancelled;
+}
+
+}  // namespace kcm::dispatch
+
+template <>
+struct kcm::core::EnumNames<kcm::dispatch::JobPhase> {
+  using Enum = kcm::dispatch::JobPhase;
+  static constexpr std::array<EnumName<Enum>, 5> kRows = {{
+      {Enum::kQueued, "queued"},
+      {Enum::kRunning, "running"},
+      {Enum::kCompleted, "completed"},
+      {Enum::kFailed, "failed"},
+      {Enum::kCancelled, "cancelled"},
+  }};
+};
--- /dev/null
+++ b/Libraries/LibDispatch/job_spec.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "LibCore/clock.h"
+#include "LibDispatch/queue_policy.h"
+#include "LibDispatch/resources.h"
+
+namespace kcm::dispatch {
+
+/// One step of a job: equal tasks that may start together.
+struct StepSpec {
+  std::int64_t tasks = 1;
+  Resources demand;
+  /// Run time that the caller expects of one task; a hint only.
+  core::Millis estimate_ms = 0;
+  /// Numbers of the steps that must be done before.
+  std::vector<std::int64_t> after;
+  /// The tasks leave checkpoints from which a later run resumes.
+  bool checkpoints = false;
+  /// All tasks run together or none does.
+  bool gang = false;
+  /// The tasks are slower when they are spread over racks.
+  bool same_rack = false;
+  /// The tasks run until the job is cancelled.
+  bool long_running = false;
+  /// Label that a worker must have; empty for any worker.
+  std::string required_label;
+  /// Rack that holds the tasks' data; empty when none does.
+  std::string data_rack;
+  /// Most tasks of the step on one worker; zero for no bound.
+  std::int64_t max_per_worker = 0;
+};
+
+KCM_JSON(StepSpec,
+         tasks,
+         demand,
+         estimate_ms,
+         after,
+         checkpoints,
+         gang,
+         same_rack,
+         long_running,
+         required_label,
+         data_rack,
+         max_per_worker)
+
+/// What a caller asked for.
+struct JobSpec {
+  std::string id;
+  std::string queue;
+  /// Client account of the caller; empty on a public queue.
+  std::string account;
+  /// Opaque text for the tasks.
+  std::string payload;
+  std::vector<StepSpec> steps;
+  /// How often the steps run on a schedule; zero for once, at once.
+  std::int64_t repeats = 0;
+  /// Due time of the first occurrence, since the Unix epoch.
+  core::Millis first_due_at = 0;
+  core::Millis period_ms = 0;
+  /// When the job was accepted, since the Unix epoch.
+  core::Millis accepted_at = 0;
+  /// The queue's policy at that time; it holds on when the queue is dropped.
+  QueuePolicy policy;
+};
+
+KCM_JSON(JobSpec,
+         id,
+         queue,
+         account,
+         payload,
+         steps,
+         repeats,
+         first_due_at,
+         period_ms,
+         accepted_at,
+         policy)
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/resources.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+#include "LibCore/json.h"
+
+namespace kcm::dispatch {
+
+/// What a worker has or a task takes.
+struct Resources {
+  /// Thousandths of a processor core.
+  std::int64_t millicores = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  auto operator==(const Resources&) const -> bool = default;
+
+  auto operator+=(const Resources& other) -> Resources& {
+    millicores += other.millicores;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  auto operator-=(const Resources& other) -> Resources& {
+    millicores -= other.millicores;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+};
+
+KCM_JSON(Resources, millicores, memory_mb, accelerators)
+
+/// @return how many tasks with this demand fit into `free` at once.
+[[nodiscard]] constexpr auto CopiesThatFit(const Resources& free,
+                                           const Resources& demand)
+    -> std::int64_t {
+  auto copies = std::numeric_limits<std::int64_t>::max();
+  const auto bound = [&copies](std::int64_t available, std::int64_t wanted) {
+    if (wanted > 0) {
+      copies = std::min(copies, available / wanted);
+    }
+  };
+  bound(free.millicores, demand.millicores);
+  bound(free.memory_mb, demand.memory_mb);
+  bound(free.accelerators, demand.accelerators);
+  return std::max<std::int64_t>(copies, 0);
+}
+
+/// @return whether one task with this demand fits into `free`.
+[[nodiscard]] constexpr auto Fits(const Resources& free,
+                                  const Resources& demand) -> bool {
+  return CopiesThatFit(free, demand) > 0;
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/worker_info.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "LibCore/address.h"
+#include "LibCore/clock.h"
+#include "LibDispatch/resources.h"
+
+namespace kcm::dispatch {
+
+/// A worker as the platform lists it.
+struct WorkerInfo {
+  std::string id;
+  /// When the worker's present life began, since the Unix epoch. A worker
+  /// that crashed and came back under its id has a later one.
+  std::int64_t life = 0;
+  std::string service;
+  core::Address address;
+  std::string data_centre;
+  std::string rack;
+  std::vector<std::string> labels;
+  Resources capacity;
+  /// Takes no new work and is about to leave.
+  bool draining = false;
+  /// Least span until a draining worker leaves.
+  core::Millis leaves_in_ms = 0;
+};
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibEntry/boundary.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "LibCore/reason.h"
+#include "LibDispatch/worker_info.h"
+#include "LibEntry/route_table.h"
+
+namespace kcm::entry {
+
+/// How the outside's rows become ours.
+struct Boundary {
+  /// Key of the row that holds the operators' configuration.
+  std::string configuration_key;
+  std::function<std::optional<RouteTable>(const std::string& text,
+                                          core::Reason& reason)>
+      read_routes;
+  std::function<std::optional<dispatch::WorkerInfo>(const std::string& id,
+                                                    const std::string& text,
+                                                    core::Reason& reason)>
+      read_worker;
+};
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/claim.cc
@@ -0,0 +1,114 @@
+#include "LibEntry/claim.h"
+
+#include <random>
+#include <utility>
+
+#include "LibCore/event.h"
+
+namespace kcm::entry {
+
+namespace {
+
+constexpr core::Millis kReadTimeoutMs = 1000;
+constexpr core::Millis kAppendTimeoutMs = 500;
+constexpr core::Millis kRetryMs = 50;
+/// Appends in vain after which the claim is given up: the store turns this
+/// process away or is down.
+constexpr int kMaxAppends = 5;
+constexpr int kMaxFailedReads = 2;
+/// Two claims of one epoch meet on one sequence number once in this many
+/// times: the store answers a repeated number as it answered it first, so a
+/// rival's number would seem to win as well.
+constexpr std::int64_t kSequenceSpan = std::int64_t{1} << 48;
+
+auto RandomSequence() -> std::int64_t {
+  std::random_device device;
+  std::uniform_int_distribution<std::int64_t> numbers(1, kSequenceSpan);
+  return numbers(device);
+}
+
+}  // namespace
+
+Claim::Claim(net::EventLoop& loop,
+             platform::KeyedStore& store,
+             TermRow self,
+             core::Millis watch_ms,
+             Done done)
+    : loop_(loop),
+      store_(store),
+      self_(std::move(self)),
+      watch_ms_(watch_ms),
+      sequence_(RandomSequence()),
+      done_(std::move(done)) {}
+
+auto Claim::Read(const std::string& after) -> void {
+  store_.ReadNewest(platform::Table::kState, after, kReadTimeoutMs,
+                    [self = shared_from_this(), after](
+                        platform::TableRead read) {
+                      self->OnPage(after, std::move(read));
+                    });
+}
+
+auto Claim::OnPage(const std::string& after, platform::TableRead read) -> void {
+  if (!read.answered) {
+    if (++failed_reads_ >= kMaxFailedReads) {
+      Lose("the state could not be read");
+      return;
+    }
+    Read(after);
+    return;
+  }
+  if (after.empty()) {
+    end_offset_ = read.end_offset;
+  }
+  if (read.end_offset != end_offset_) {
+    Lose("the state changed while it was read");
+    return;
+  }
+  const auto last_key = read.rows.empty() ? after : read.rows.back().key;
+  std::move(read.rows.begin(), read.rows.end(), std::back_inserter(rows_));
+  if (read.truncated && last_key != after) {
+    Read(last_key);
+    return;
+  }
+  former_ = FindTerm(rows_).value_or(TermRow{});
+  self_.epoch = former_.epoch + 1;
+  loop_.After(watch_ms_, [self = shared_from_this()] { self->Append(); });
+}
+
+auto Claim::Append() -> void {
+  ++appends_;
+  store_.Append({EncodeTerm(self_)},
+                {kWriterName, self_.epoch, sequence_}, end_offset_,
+                kAppendTimeoutMs,
+                [self = shared_from_this()](platform::StoreEnd end) {
+                  self->OnAppended(end);
+                });
+}
+
+auto Claim::OnAppended(platform::StoreEnd end) -> void {
+  switch (end) {
+    case platform::StoreEnd::kAppended:
+      done_({true, self_, sequence_, std::move(rows_), ""});
+      return;
+    case platform::StoreEnd::kFenced:
+    case platform::StoreEnd::kMoved:
+      Lose("another process appended first");
+      return;
+    case platform::StoreEnd::kRefused:
+    case platform::StoreEnd::kUnknown:
+      break;
+  }
+  if (appends_ >= kMaxAppends) {
+    Lose("the store did not take the claim");
+    return;
+  }
+  // The same append again: the store takes it once.
+  loop_.After(kRetryMs, [self = shared_from_this()] { self->Append(); });
+}
+
+auto Claim::Lose(const std::string& reason) -> void {
+  done_({false, former_, 0, {}, reason});
+}
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/claim.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibEntry/term_row.h"
+#include "LibNet/event_loop.h"
+#include "LibPlatform/keyed_store.h"
+
+namespace kcm::entry {
+
+/// What a claim of the term gave.
+struct ClaimResult {
+  bool won = false;
+  /// The term that was won, or the one that stands in the way.
+  TermRow term;
+  /// Sequence number of the append that won; the next one follows it.
+  std::int64_t sequence = 0;
+  /// The whole state, when the claim was won.
+  std::vector<dispatch::Row> rows;
+  std::string reason;
+};
+
+/// One claim of the term: reads the whole state and appends the new term's row
+/// on the condition that nothing was appended in between.
+class Claim : public std::enable_shared_from_this<Claim> {
+ public:
+  using Done = std::function<void(ClaimResult)>;
+
+  Claim(net::EventLoop& loop,
+        platform::KeyedStore& store,
+        TermRow self,
+        core::Millis watch_ms,
+        Done done);
+
+  auto Start() -> void { Read(""); }
+
+ private:
+  auto Read(const std::string& after) -> void;
+  auto OnPage(const std::string& after, platform::TableRead read) -> void;
+  auto Append() -> void;
+  auto OnAppended(platform::StoreEnd end) -> void;
+  auto Lose(const std::string& reason) -> void;
+
+  net::EventLoop& loop_;
+  platform::KeyedStore& store_;
+  TermRow self_;
+  TermRow former_;
+  core::Millis watch_ms_;
+  std::int64_t sequence_;
+  Done done_;
+  std::vector<dispatch::Row> rows_;
+  std::int64_t end_offset_ = 0;
+  int appends_ = 0;
+  int failed_reads_ = 0;
+};
+
+/// The writer's name in the store; epochs and sequences belong to it.
+inline constexpr const char* kWriterName = "kcm";
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/client_call.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibCore/enum_names.h"
+#include "LibCore/reason.h"
+#include "LibDispatch/job_phase.h"
+
+namespace kcm::entry {
+
+/// What a caller does to a job or a queue.
+enum class ClientVerb : std::uint8_t { kSubmit, kRead, kCancel, kOther };
+
+/// One call of a client, as it came in.
+struct ClientCall {
+  ClientVerb verb = ClientVerb::kOther;
+  std::string host;
+  std::string path;
+  /// Proves the client account; may be empty.
+  std::string token;
+  std::string body;
+  /// Span for which the caller waits for the answer.
+  core::Millis patience_ms = 0;
+};
+
+/// What the caller is told.
+struct ClientAnswer {
+  enum class Content : std::uint8_t { kNothing, kPhase, kPending };
+
+  core::Reason reason;
+  Content content = Content::kNothing;
+  dispatch::JobPhase phase = dispatch::JobPhase::kQueued;
+  std::int64_t pending = 0;
+  /// When it makes sense to come again; zero when it does not.
+  core::Millis retry_after_ms = 0;
+};
+
+}  // namespace kcm::entry
+
+template <>
+struct kcm::core::EnumNames<kcm::entry::ClientVerb> {
+  using Enum = kcm::entry::ClientVerb;
+  static constexpr std::array<EnumName<Enum>, 4> kRows = {{
+      {Enum::kSubmit, "submit"},
+      {Enum::kRead, "read"},
+      {Enum::kCancel, "cancel"},
+      {Enum::kOther, "other"},
+  }};
+};
--- /dev/null
+++ b/Libraries/LibEntry/holder_request.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "LibCore/enum_names.h"
+#include "LibCore/error_kind.h"
+#include "LibCore/json.h"
+#include "LibDispatch/job_phase.h"
+#include "LibDispatch/job_spec.h"
+
+namespace kcm::entry {
+
+/// What a caller wants of a job.
+enum class JobVerb : std::uint8_t { kSubmit, kRead, kCancel };
+
+/// One request about a job, on its way to the holder.
+struct HolderRequest {
+  JobVerb verb = JobVerb::kRead;
+  std::string job;
+  /// Client account of the caller; empty on a public queue.
+  std::string account;
+  /// Set when a job is submitted.
+  dispatch::JobSpec spec;
+};
+
+/// The holder's answer.
+struct HolderAnswer {
+  /// kNone when it was done.
+  core::ErrorKind error = core::ErrorKind::kNone;
+  /// Set when a job was read.
+  dispatch::JobPhase phase = dispatch::JobPhase::kQueued;
+  /// The process asked does not hold the term; another one may.
+  bool not_holder = false;
+};
+
+}  // namespace kcm::entry
+
+template <>
+struct kcm::core::EnumNames<kcm::entry::JobVerb> {
+  using Enum = kcm::entry::JobVerb;
+  static constexpr std::array<EnumName<Enum>, 3> kRows = {{
+      {Enum::kSubmit, "submit"},
+      {Enum::kRead, "read"},
+      {Enum::kCancel, "cancel"},
+  }};
+};
+
+namespace kcm::entry {
+
+KCM_JSON(HolderRequest, verb, job, account, spec)
+
+inline auto to_json(core::Json& document, const HolderAnswer& answer) -> void {
+  document = {{"error", core::AnswerOf(answer.error).name},
+              {"phase", answer.phase},
+              {"not_holder", answer.not_holder}};
+}
+
+inline auto from_json(const core::Json& document, HolderAnswer& answer)
+    -> void {
+  answer.error = core::ErrorKindOf(document.value("error", "internal"));
+  answer.phase = document.at("phase").get<dispatch::JobPhase>();
+  answer.not_holder = document.value("not_holder", false);
+}
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/route_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/json.h"
+#include "LibDispatch/queue_policy.h"
+
+namespace kcm::entry {
+
+/// One queue and the address under which callers reach it.
+struct Route {
+  std::string queue;
+  std::string host;
+  std::string path_prefix;
+  /// Callers need no token.
+  bool is_public = false;
+  dispatch::QueuePolicy policy;
+};
+
+KCM_JSON(Route, queue, host, path_prefix, is_public, policy)
+
+/// One version of the operators' configuration.
+struct RouteTable {
+  /// Zero before the first configuration was read; versions only rise.
+  std::int64_t version = 0;
+  std::vector<Route> routes;
+  /// Client account by token.
+  std::map<std::string, std::string> accounts;
+  /// Accelerators that each client account is owed at all times.
+  std::map<std::string, std::int64_t> guarantees;
+  std::int64_t max_body_bytes = 262144;
+
+  /// @return the route of the longest prefix, or nullptr.
+  [[nodiscard]] auto Find(std::string_view host, std::string_view path) const
+      -> const Route*;
+
+  /// @return the policies of all queues by name.
+  [[nodiscard]] auto Policies() const
+      -> std::map<std::string, dispatch::QueuePolicy>;
+};
+
+KCM_JSON(RouteTable, version, routes, accounts, guarantees, max_body_bytes)
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/table_follower.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibNet/event_loop.h"
+#include "LibPlatform/keyed_store.h"
+
+namespace kcm::entry {
+
+/// How a table is followed.
+struct FollowSettings {
+  platform::Table table = platform::Table::kOperators;
+  /// Span that the store may hold a read without records.
+  core::Millis wait_ms = 0;
+  /// Pause between two reads.
+  core::Millis pause_ms = 0;
+};
+
+/// Reads a table whole and then its changes, for as long as it lives.
+///
+/// When records went past their retention before they were read, the table is
+/// read whole again.
+class TableFollower {
+ public:
+  /// @param whole the rows are all there are, and others are gone.
+  using OnRows =
+      std::function<void(const std::vector<dispatch::Row>& rows, bool whole)>;
+
+  TableFollower(net::EventLoop& loop,
+                platform::KeyedStore& store,
+                FollowSettings settings,
+                OnRows on_rows);
+
+  /// @return when the store last answered, on the steady clock; zero before.
+  [[nodiscard]] auto answered_at() const -> core::Millis {
+    return state_->answered_at;
+  }
+
+ private:
+  /// Shared with reads under way, which may end after the follower.
+  struct State {
+    net::EventLoop& loop;
+    platform::KeyedStore& store;
+    FollowSettings settings;
+    OnRows on_rows;
+    /// Rows of the pages read so far.
+    std::vector<dispatch::Row> pages;
+    std::int64_t offset = 0;
+    core::Millis answered_at = 0;
+  };
+  using Weak = std::weak_ptr<State>;
+
+  static auto ReadWhole(const std::shared_ptr<State>& state,
+                        const std::string& after) -> void;
+  static auto ReadChanges(const std::shared_ptr<State>& state) -> void;
+  static auto Retry(const std::shared_ptr<State>& state, bool whole) -> void;
+  static auto OnPage(const std::shared_ptr<State>& state,
+                     const std::string& after,
+                     platform::TableRead read) -> void;
+  static auto OnChanges(const std::shared_ptr<State>& state,
+                        const platform::TableRead& read) -> void;
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace kcm::entry
--- /dev/null
+++ b/Libraries/LibEntry/term_row.cc
@@ -0,0 +1,31 @@
+#include "LibEntry/term_row.h"
+
+#include "LibCore/json.h"
+
+namespace kcm::entry {
+
+auto EncodeTerm(const TermRow& term) -> dispatch::Row {
+  const auto bytes = core::Json::to_msgpack(
+      core::Json::array({term.epoch, term.name, term.address.host,
+                         term.address.port}));
+  return {kTermKey, {bytes.begin(), bytes.end()}};
+}
+
+auto FindTerm(const std::vector<dispatch::Row>& rows)
+    -> std::optional<TermRow> {
+  std::optional<TermRow> newest;
+  for (const auto& row : rows) {
+    if (row.key != kTermKey) {
+      continue;
+    }
+    const auto document = core::Json::from_msgpack(row.value, true, false);
+    constexpr std::size_t kMembers = 4;
+    if (!document.is_array() || document.size() < kMembers) {
+      continue;
+    }
+    newest = TermRow{document[0], document[1], {document[2], document[3]}};
+  }
+  return newest;
+}
+
+}  // namespace kcm::entry
--- a/Libraries/LibNet/http_client.cc
+++ b/Libraries/LibNet/http_client.cc
@@ -151,6 +151,13 @@
   }
   auto& idle = idle_[call.server];
   auto* connection = call.connection;
+  if (result.exchange == Exchange::kBroken) {
+    // What silenced or reset this connection has likely hit the idle ones too,
+    // and each would cost the next request a whole timeout.
+    for (auto* other : std::exchange(idle, {})) {
+      evhttp_connection_free(other);
+    }
+  }
   if (result.exchange == Exchange::kAnswered &&
       idle.size() < max_idle_per_server_) {
     idle.push_back(connection);
--- a/Libraries/LibNet/http_server.h
+++ b/Libraries/LibNet/http_server.h
@@ -60,6 +60,9 @@
   /// sent, and each is closed after its next answer.
   auto StopListening() -> void;
 
+  /// Goes on to accept connections, and closes each after its next answer.
+  auto CloseAfterAnswers() -> void { *closing_ = true; }
+
   /// @return requests that were read and not yet answered.
   [[nodiscard]] auto pending() const -> int { return *pending_; }
 
--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -66,6 +66,19 @@
   Find(gauge, label, value).Set(number);
 }
 
+auto Metrics::Observe(const std::string& name, core::Millis span) -> void {
+  auto*& histogram = histograms_[name];
+  if (histogram == nullptr) {
+    const prometheus::Histogram::BucketBoundaries bounds = {
+        1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000};
+    histogram = &prometheus::BuildHistogram()
+                     .Name("kcm_" + name + "_ms")
+                     .Register(registry_)
+                     .Add({}, bounds);
+  }
+  histogram->Observe(static_cast<double>(span));
+}
+
 auto Metrics::OnScrape(Sampler sampler) -> void {
   samplers_.push_back(std::move(sampler));
 }
--- a/Libraries/LibNode/metrics.h
+++ b/Libraries/LibNode/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <functional>
@@ -47,6 +48,9 @@
            const std::string& label = "",
            const std::string& value = "") -> void;
 
+  /// Counts one span in the histogram `name` + "_ms".
+  auto Observe(const std::string& name, core::Millis span) -> void;
+
   /// Calls `sampler` before each scrape, to set what is cheap to read and
   /// costly to keep.
   auto OnScrape(Sampler sampler) -> void;
@@ -73,6 +77,7 @@
   prometheus::Registry registry_;
   std::map<std::string, Family<prometheus::Counter>> counters_;
   std::map<std::string, Family<prometheus::Gauge>> gauges_;
+  std::map<std::string, prometheus::Histogram*> histograms_;
   std::vector<Sampler> samplers_;
   std::unique_ptr<net::HttpServer> server_;
 };
--- /dev/null
+++ b/Services/Entry/entry_process.cc
@@ -0,0 +1,157 @@
+#include "entry_process.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "LibCore/event.h"
+#include "platform/adapter.h"
+#include "platform/client_http.h"
+#include "platform/job_request.h"
+#include "platform/names.h"
+#include "platform/node_file.h"
+
+namespace kcm::entry {
+
+namespace {
+
+using core::Millis;
+
+/// The settings file may change without a signal; it is read this often.
+constexpr Millis kSettingsPeriodMs = 2000;
+/// Callers are sent here until two questions for readiness, a second apart,
+/// have found the process leaving.
+constexpr Millis kLeastDrainMs = 3000;
+/// Kept of the grace for the exit itself.
+constexpr Millis kExitMarginMs = 500;
+constexpr Millis kIdleCheckMs = 50;
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+
+auto ReadText(const std::string& path) -> std::string {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(std::string settings_path)
+    : settings_path_(std::move(settings_path)),
+      http_(loop_),
+      boundary_(adapter::MakeBoundary()),
+      workers_(http_) {
+  std::signal(SIGPIPE, SIG_IGN);
+  loop_.OnSignal(SIGTERM, [this] { Drain(); });
+  loop_.OnSignal(SIGINT, [this] { Drain(); });
+  loop_.OnSignal(SIGHUP, [this] { Reload(); });
+}
+
+auto EntryProcess::Open(const EntrySettings& settings, core::Reason& reason)
+    -> bool {
+  settings_ = settings;
+  settings_text_ = ReadText(settings_path_);
+  metrics_ = node::Metrics::create(loop_, settings.metrics, reason);
+  if (metrics_ == nullptr) {
+    return false;
+  }
+  store_ = std::make_unique<adapter::StoreClient>(http_, settings.store);
+  service_ = EntryService::create(
+      {loop_, http_, *store_, workers_, boundary_, *metrics_}, settings,
+      reason);
+  if (service_ == nullptr || !OpenFront(settings, reason)) {
+    return false;
+  }
+  loop_.Every(kSettingsPeriodMs, [this] { ReloadIfChanged(); });
+  return true;
+}
+
+auto EntryProcess::OpenFront(const EntrySettings& settings,
+                             core::Reason& reason) -> bool {
+  desk_ = std::make_unique<FrontDesk>(
+      service_->routes(), service_->holder_link(), *metrics_,
+      adapter::DecodeJobRequest,
+      [this](const std::string& queue) { return service_->PendingOf(queue); });
+  front_ = net::HttpServer::create(
+      loop_, settings.front,
+      [this](const net::HttpRequest& request, const net::HttpReply& reply) {
+        desk_->Handle(adapter::DecodeClientCall(request),
+                      [reply](const ClientAnswer& answer) {
+                        reply.Send(adapter::EncodeClientAnswer(answer));
+                      });
+      },
+      reason);
+  if (front_ == nullptr) {
+    return false;
+  }
+  ready_ = net::HttpServer::create(
+      loop_, settings.ready,
+      [this](const net::HttpRequest& /*request*/, const net::HttpReply& reply) {
+        const auto is_ready = service_->IsReady();
+        if (std::exchange(was_ready_, is_ready) != is_ready) {
+          core::LogEvent(core::Event::kReadyChanged, {{"ready", is_ready}});
+        }
+        reply.Send({is_ready ? kHttpOk : kHttpUnavailable, {}, ""});
+      },
+      reason);
+  return ready_ != nullptr;
+}
+
+auto EntryProcess::ReloadIfChanged() -> void {
+  if (ReadText(settings_path_) != settings_text_) {
+    Reload();
+  }
+}
+
+auto EntryProcess::Reload() -> void {
+  if (service_ == nullptr) {
+    // The settings are about to be read anyway.
+    return;
+  }
+  settings_text_ = ReadText(settings_path_);
+  core::Reason reason;
+  auto settings = adapter::ReadNodeFile(settings_path_, reason);
+  if (!settings) {
+    core::LogEvent(core::Event::kSettingsRejected,
+                   {{"field", reason.field}, {"reason", reason.message}});
+    return;
+  }
+  settings_ = std::move(*settings);
+  store_->set_address(settings_.store);
+  service_->SetSettings(settings_);
+  core::LogEvent(core::Event::kSettingsReloaded,
+                 {{"store", settings_.store.ToString()},
+                  {"seeds", settings_.seeds.size()}});
+}
+
+auto EntryProcess::Drain() -> void {
+  if (std::exchange(draining_, true)) {
+    // A second signal changes nothing: the drain goes on.
+    return;
+  }
+  core::LogEvent(core::Event::kDraining, {{"grace_ms", settings_.grace_ms}});
+  if (service_ == nullptr) {
+    loop_.Stop();
+    return;
+  }
+  service_->Drain();
+  front_->CloseAfterAnswers();
+  StopWhenIdle(core::SuspendAwareNow());
+}
+
+auto EntryProcess::StopWhenIdle(Millis draining_since) -> void {
+  const auto spent = core::SuspendAwareNow() - draining_since;
+  const auto longest = std::max(settings_.grace_ms - kExitMarginMs, Millis{0});
+  const auto least = std::min(kLeastDrainMs, longest);
+  if (spent >= longest || (spent >= least && front_->pending() == 0)) {
+    loop_.Stop();
+    return;
+  }
+  loop_.After(kIdleCheckMs,
+              [this, draining_since] { StopWhenIdle(draining_since); });
+}
+
+}  // namespace kcm::entry
