LibDispatch: Let leases of gone workers lapse and doubt starts across lives

Ruled out: a lost listing, since the worker's entry was gone in time.

Only a look tells the life; a run that no look has shown is now stopped on the new life first.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -84,7 +84,7 @@
         sessions_.try_emplace(info.id, info, settings_, lapse_floor_);
     auto& session = found->second;
     const auto old_life = session.info().life;
-    for (const auto& ended : session.Describe(info)) {
+    for (const auto& ended : session.Describe(info, now.steady)) {
       Apply(info.id, ended, now);
     }
     if (is_new || old_life != info.life) {
--- a/Libraries/LibDispatch/run.h
+++ b/Libraries/LibDispatch/run.h
@@ -36,6 +36,8 @@
   bool start_sent = false;
   /// A start got no answer: it may take effect later.
   bool start_lost = false;
+  /// A look has shown it in the worker's present life.
+  bool listed = false;
   bool call_in_flight = false;
   core::Millis next_call_at = 0;
   /// When the worker confirmed the start or the stop.
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -13,6 +13,11 @@
 constexpr core::Millis kLongestWaitMs = 2000;
 /// Pause between looks while ends that were told are not stored yet.
 constexpr core::Millis kUnstoredPauseMs = 500;
+/// Looks without an answer after which no lease is renewed any more, so that
+/// the leases of a worker that is gone run out.
+constexpr int kLooksToRenew = 2;
+/// A call without an answer may take effect this much later.
+constexpr core::Millis kLatestCallMs = 12000;
 /// Added to the end of a lease for the worker to kill what it covers.
 constexpr core::Millis kLapseMarginMs = 300;
 
@@ -23,28 +28,42 @@
                              core::Millis lapse_floor)
     : info_(std::move(info)), settings_(settings), lapse_floor_(lapse_floor) {}
 
-auto WorkerSession::Describe(const WorkerInfo& info) -> std::vector<EndedRun> {
+auto WorkerSession::Describe(const WorkerInfo& info, core::Millis now)
+    -> std::vector<EndedRun> {
   std::vector<EndedRun> lost;
   listed_ = true;
   if (info.life == info_.life) {
     info_ = info;
     return lost;
   }
-  std::vector<StrayKey> late;
-  for (const auto& [task, run] : runs_) {
-    if (run.start_lost || run.phase == RunPhase::kAdopted) {
-      // The call may still reach the new life, which knows no fence yet.
-      late.emplace_back(task, run.attempt);
-    }
-  }
+  // Only a look tells in which life a run is. A start that no look has shown
+  // may have reached the new life, which knows no fence yet: such a run is
+  // gone only when the new life has acknowledged its stop.
+  std::vector<Run> in_doubt;
   while (!runs_.empty()) {
     const auto task = runs_.begin()->first;
-    lost.push_back(Erase(task, RunEnd::kVanished));
+    auto ended = Erase(task, RunEnd::kVanished);
+    const auto may_run = ended.run.start_lost ||
+                         ended.run.phase == RunPhase::kAdopted ||
+                         (ended.run.start_sent && !ended.run.listed);
+    if (may_run) {
+      in_doubt.push_back(std::move(ended.run));
+    } else {
+      lost.push_back(std::move(ended));
+    }
   }
   const auto settings = settings_;
-  *this = WorkerSession(info, settings, 0);
-  for (const auto& key : late) {
-    strays_.try_emplace(key);
+  *this = WorkerSession(info, settings,
+                        now + kLatestCallMs + settings.max_lease_ms);
+  for (auto& run : in_doubt) {
+    run.phase = RunPhase::kStopping;
+    run.start_sent = true;
+    run.call_in_flight = false;
+    run.listed = false;
+    run.started_at.reset();
+    run.stopped_at.reset();
+    run.next_call_at = 0;
+    Add(std::move(run));
   }
   return lost;
 }
@@ -155,7 +174,8 @@
   const auto wanted = !greeted_ || !is_idle() || seen_ > forgotten_;
   LookCall look;
   look.seen = seen_;
-  if (may_renew && greeted_ && !runs_.empty()) {
+  if (may_renew && greeted_ && !runs_.empty() &&
+      silent_looks_ < kLooksToRenew) {
     look.lease_until = Grant(now);
   }
   auto call = CallOf(now);
@@ -339,6 +359,7 @@
     }
     listed[row.task] = &row;
     auto& run = found->second;
+    run.listed = true;
     if (run.phase == RunPhase::kAdopted || run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.started_at = run.started_at.value_or(sent_at);
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -38,7 +38,7 @@
 
   /// Takes a newer listing of the worker.
   /// @return runs that its former life took with it.
-  [[nodiscard]] auto Describe(const WorkerInfo& info)
+  [[nodiscard]] auto Describe(const WorkerInfo& info, core::Millis now)
       -> std::vector<EndedRun>;
   auto SetListed(bool listed) -> void { listed_ = listed; }
 
--- /dev/null
+++ b/Tests/LibDispatch/fake_worker.h
@@ -0,0 +1,234 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibDispatch/worker_call.h"
+#include "LibDispatch/worker_info.h"
+
+namespace kcm::dispatch {
+
+/// One run on a fake worker.
+struct FakeRun {
+  TaskId task;
+  std::int64_t attempt = 0;
+  core::Millis began_at = 0;
+  core::Millis needs_ms = 0;
+  core::Millis worked_ms = 0;
+  bool hangs = false;
+};
+
+/// A worker that keeps the platform's contract on simulated time: fences,
+/// leases on its own clock, ends that are listed until they are seen.
+class FakeWorker {
+ public:
+  using Key = std::pair<TaskId, std::int64_t>;
+
+  explicit FakeWorker(WorkerInfo info) : info_(std::move(info)) {}
+
+  auto info() const -> const WorkerInfo& { return info_; }
+  auto info() -> WorkerInfo& { return info_; }
+  auto runs() const -> const std::map<TaskId, FakeRun>& { return runs_; }
+  auto ended() const -> const std::deque<EndReport>& { return ended_; }
+  auto up() const -> bool { return up_; }
+  auto set_up(bool up) -> void { up_ = up; }
+  auto set_speed(double speed) -> void { speed_ = speed; }
+
+  /// All that ran is lost and the worker comes back under its id.
+  auto Crash(core::Millis now) -> std::vector<FakeRun> {
+    std::vector<FakeRun> lost;
+    for (const auto& [task, run] : runs_) {
+      lost.push_back(run);
+    }
+    runs_.clear();
+    ended_.clear();
+    closed_.clear();
+    fence_ = 0;
+    number_ = 0;
+    lease_until_ = 0;
+    born_at_ = now;
+    ++info_.life;
+    return lost;
+  }
+
+  auto Clock(core::Millis now) const -> core::Millis { return now - born_at_; }
+
+  /// @return whether the run is new on this worker.
+  auto Start(const StartCall& call,
+             std::int64_t fence,
+             core::Millis needs_ms,
+             const Resources& demand,
+             core::Millis now,
+             CallResult& result) -> bool {
+    result.clock_ms = Clock(now);
+    if (fence < fence_) {
+      result.end = CallEnd::kFenced;
+      return false;
+    }
+    fence_ = fence;
+    const auto known = runs_.find(call.task);
+    if (known != runs_.end() && known->second.attempt == call.attempt) {
+      result.end = CallEnd::kDone;
+      return false;
+    }
+    const auto closed = closed_.find(call.task);
+    if ((closed != closed_.end() && call.attempt <= closed->second) ||
+        known != runs_.end()) {
+      result.end = CallEnd::kSuperseded;
+      return false;
+    }
+    if (call.lease_until <= Clock(now)) {
+      result.end = CallEnd::kLate;
+      return false;
+    }
+    CountLapse(now);
+    has_lapsed_ = false;
+    lease_until_ = std::max(lease_until_, call.lease_until);
+    if (!Fits(Free(), demand)) {
+      result.end = CallEnd::kNoRoom;
+      return false;
+    }
+    used_[call.task] = demand;
+    runs_[call.task] = {call.task, call.attempt, now, needs_ms, 0, false};
+    result.end = CallEnd::kDone;
+    return true;
+  }
+
+  auto Stop(const StopCall& call, std::int64_t fence, core::Millis now)
+      -> CallResult {
+    CallResult result;
+    result.clock_ms = Clock(now);
+    if (fence < fence_) {
+      result.end = CallEnd::kFenced;
+      return result;
+    }
+    fence_ = fence;
+    auto& closed = closed_[call.task];
+    closed = std::max(closed, call.attempt);
+    const auto found = runs_.find(call.task);
+    if (found != runs_.end() && found->second.attempt == call.attempt) {
+      End(call.task, RunEnd::kStopped);
+    }
+    result.end = CallEnd::kDone;
+    return result;
+  }
+
+  /// @return nothing while the look still waits.
+  auto Look(const LookCall& call, std::int64_t fence, core::Millis now)
+      -> CallResult {
+    CallResult result;
+    if (fence < fence_) {
+      result.end = CallEnd::kFenced;
+      return result;
+    }
+    fence_ = fence;
+    CountLapse(now);
+    while (!ended_.empty() && ended_.front().number <= call.seen) {
+      if (lapses_at_end_.at(ended_.front().number) == lapses_) {
+        noted_.push_back(ended_.front());
+      }
+      ended_.pop_front();
+    }
+    if (call.lease_until) {
+      has_lapsed_ = false;
+      lease_until_ = std::max(lease_until_, *call.lease_until);
+    }
+    result.end = CallEnd::kDone;
+    result.clock_ms = Clock(now);
+    LookReport report;
+    report.life = info_.life;
+    report.clock_ms = Clock(now);
+    for (const auto& [task, run] : runs_) {
+      const auto percent = 100.0 * static_cast<double>(run.worked_ms) /
+                           static_cast<double>(run.needs_ms);
+      report.running.push_back({task, run.attempt, "", percent});
+    }
+    report.ended.assign(ended_.begin(), ended_.end());
+    result.report = report;
+    return result;
+  }
+
+  /// Works for a span.
+  /// @param may_work whether a run works; members of a gang wait for others.
+  /// @return runs that ended in it and how.
+  auto Advance(core::Millis now,
+               core::Millis span,
+               const std::function<bool(const FakeRun&)>& may_work)
+      -> std::vector<std::pair<FakeRun, RunEnd>> {
+    std::vector<std::pair<FakeRun, RunEnd>> ends;
+    CountLapse(now);
+    for (const auto& [task, run] : std::map(runs_)) {
+      auto& live = runs_.at(task);
+      if (Clock(now) > lease_until_) {
+        ends.emplace_back(live, RunEnd::kLapsed);
+        End(task, RunEnd::kLapsed);
+      } else if (!live.hangs && may_work(live)) {
+        live.worked_ms += static_cast<core::Millis>(
+            static_cast<double>(span) * speed_);
+        if (live.worked_ms >= live.needs_ms) {
+          const auto how = fails_ ? RunEnd::kFailed : RunEnd::kDone;
+          ends.emplace_back(live, how);
+          End(task, how);
+        }
+      }
+    }
+    return ends;
+  }
+
+  /// @return ends that a holder took note of before the lease lapsed.
+  auto TakeNoted() -> std::vector<EndReport> {
+    return std::exchange(noted_, {});
+  }
+
+  auto set_fails(bool fails) -> void { fails_ = fails; }
+  auto Hang(const TaskId& task) -> void { runs_.at(task).hangs = true; }
+
+  auto Free() const -> Resources {
+    auto free = info_.capacity;
+    for (const auto& [task, demand] : used_) {
+      free -= demand;
+    }
+    return free;
+  }
+
+  auto End(const TaskId& task, RunEnd how) -> void {
+    auto& run = runs_.at(task);
+    ended_.push_back({++number_, task, run.attempt, how, ""});
+    lapses_at_end_[number_] = lapses_;
+    auto& closed = closed_[task];
+    closed = std::max(closed, run.attempt);
+    runs_.erase(task);
+    used_.erase(task);
+  }
+
+ private:
+  auto CountLapse(core::Millis now) -> void {
+    if (Clock(now) > lease_until_ && !has_lapsed_) {
+      has_lapsed_ = true;
+      ++lapses_;
+    }
+  }
+
+  WorkerInfo info_;
+  std::vector<EndReport> noted_;
+  std::map<std::int64_t, int> lapses_at_end_;
+  int lapses_ = 0;
+  bool has_lapsed_ = false;
+  std::map<TaskId, FakeRun> runs_;
+  std::map<TaskId, Resources> used_;
+  std::deque<EndReport> ended_;
+  std::map<TaskId, std::int64_t> closed_;
+  std::int64_t fence_ = 0;
+  std::int64_t number_ = 0;
+  core::Millis lease_until_ = 0;
+  core::Millis born_at_ = 0;
+  double speed_ = 1;
+  bool fails_ = false;
+  bool up_ = true;
+};
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Tests/LibEntry/claim_test.cc
@@ -0,0 +1,78 @@
+#include "LibEntry/claim.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "fake_store.h"
+
+namespace kcm::entry {
+namespace {
+
+auto StartClaim(net::EventLoop& loop,
+                FakeStore& store,
+                const std::string& name,
+                std::vector<ClaimResult>& results,
+                std::size_t expected) -> void {
+  const auto claim = std::make_shared<Claim>(
+      loop, store, TermRow{0, name, {"10.0.0.1", 1}}, 0,
+      [&loop, &results, expected](ClaimResult result) {
+        results.push_back(std::move(result));
+        if (results.size() == expected) {
+          loop.Stop();
+        }
+      });
+  claim->Start();
+}
+
+// On a calm day two processes held term 1 at once: both had appended under
+// one sequence number, and the store answered the second like the first.
+TEST(Claim, OneOfTwoAtOnceWins) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  std::vector<ClaimResult> results;
+  StartClaim(loop, store, "a", results, 2);
+  StartClaim(loop, store, "b", results, 2);
+  loop.Run();
+  ASSERT_EQ(results.size(), 2U);
+  EXPECT_NE(results[0].won, results[1].won);
+}
+
+TEST(Claim, IsSettledWhenTheStoresAnswerIsLost) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.lose_answers = 1;
+  std::vector<ClaimResult> results;
+  StartClaim(loop, store, "a", results, 1);
+  loop.Run();
+  EXPECT_TRUE(results[0].won);
+  EXPECT_EQ(results[0].term.epoch, 1);
+  EXPECT_EQ(store.appends, 2);
+}
+
+TEST(Claim, IsGivenUpWhenTheStoreTurnsItAway) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.refuse = true;
+  std::vector<ClaimResult> results;
+  StartClaim(loop, store, "a", results, 1);
+  loop.Run();
+  EXPECT_FALSE(results[0].won);
+}
+
+TEST(Claim, RaisesTheTermThatItFinds) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  std::vector<ClaimResult> results;
+  StartClaim(loop, store, "a", results, 1);
+  loop.Run();
+  results.clear();
+  StartClaim(loop, store, "b", results, 1);
+  loop.Run();
+  ASSERT_TRUE(results[0].won);
+  EXPECT_EQ(results[0].term.epoch, 2);
+  EXPECT_EQ(FindTerm({{kTermKey, store.state.at(kTermKey)}})->name, "b");
+}
+
+}  // namespace
+}  // namespace kcm::entry
--- /dev/null
+++ b/Tests/LibEntry/fake_store.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibNet/event_loop.h"
+#include "LibPlatform/keyed_store.h"
+
+namespace kcm::entry {
+
+/// The platform's store in memory, with its rules for writers: an epoch shuts
+/// lower ones out, and a repeated sequence number gets its first answer again.
+class FakeStore : public platform::KeyedStore {
+ public:
+  explicit FakeStore(net::EventLoop& loop) : loop_(loop) {}
+
+  auto Append(const std::vector<dispatch::Row>& rows,
+              const platform::WriterFence& fence,
+              std::optional<std::int64_t> expected_end,
+              core::Millis timeout,
+              AppendDone done) -> void override {
+    ++appends;
+    if (refuse) {
+      loop_.After(1, [done] { done(platform::StoreEnd::kRefused); });
+      return;
+    }
+    const auto end = Apply(rows, fence, expected_end);
+    const auto is_lost = lose_answers > 0 && lose_answers-- > 0;
+    loop_.After(is_lost ? timeout : 1, [done, end, is_lost] {
+      done(is_lost ? platform::StoreEnd::kUnknown : end);
+    });
+  }
+
+  auto ReadNewest(platform::Table table,
+                  const std::string& after,
+                  core::Millis timeout,
+                  ReadDone done) -> void override {
+    std::ignore = timeout;
+    platform::TableRead read;
+    read.answered = !refuse;
+    if (table == platform::Table::kState) {
+      for (const auto& [key, value] : state) {
+        if (key > after) {
+          read.rows.push_back({key, value});
+        }
+      }
+      read.end_offset = end_offset;
+    } else {
+      const auto& log = tables[table];
+      read.rows.assign(log.begin(), log.end());
+      read.end_offset = static_cast<std::int64_t>(log.size());
+    }
+    loop_.After(1, [done, read] { done(read); });
+  }
+
+  auto ReadFrom(platform::Table table,
+                std::int64_t offset,
+                core::Millis wait,
+                core::Millis timeout,
+                ReadDone done) -> void override {
+    std::ignore = wait;
+    std::ignore = timeout;
+    platform::TableRead read;
+    read.answered = !refuse;
+    const auto& log = tables[table];
+    for (auto index = static_cast<std::size_t>(offset); index < log.size();
+         ++index) {
+      read.rows.push_back(log[index]);
+    }
+    loop_.After(5, [done, read] { done(read); });
+  }
+
+  std::map<std::string, std::string> state;
+  std::map<platform::Table, std::deque<dispatch::Row>> tables;
+  std::int64_t end_offset = 0;
+  int appends = 0;
+  int lose_answers = 0;
+  bool refuse = false;
+
+ private:
+  auto Apply(const std::vector<dispatch::Row>& rows,
+             const platform::WriterFence& fence,
+             std::optional<std::int64_t> expected_end) -> platform::StoreEnd {
+    if (fence.epoch < epoch_) {
+      return platform::StoreEnd::kFenced;
+    }
+    if (fence.epoch == epoch_) {
+      if (fence.sequence == sequence_) {
+        return platform::StoreEnd::kAppended;
+      }
+      if (fence.sequence != sequence_ + 1) {
+        return platform::StoreEnd::kFenced;
+      }
+    }
+    if (expected_end && *expected_end != end_offset) {
+      return platform::StoreEnd::kMoved;
+    }
+    epoch_ = fence.epoch;
+    sequence_ = fence.sequence;
+    end_offset += static_cast<std::int64_t>(rows.size());
+    for (const auto& row : rows) {
+      if (row.value.empty()) {
+        state.erase(row.key);
+      } else {
+        state[row.key] = row.value;
+      }
+    }
+    return platform::StoreEnd::kAppended;
+  }
+
+  net::EventLoop& loop_;
+  std::int64_t epoch_ = 0;
+  std::int64_t sequence_ = 0;
+};
+
+}  // namespace kcm::entry
