LibEntry: End the takeover storm at the start

A process that had not heard of the first holder also claimed over it. Ruled out: silence of the holder (beats were answered within 4 ms). Now only the end of the term believed in counts, and a claim that finds an unknown newer term in the store asks its holder first.

--- a/Libraries/LibEntry/claim.cc
+++ b/Libraries/LibEntry/claim.cc
@@ -32,11 +32,13 @@
 Claim::Claim(net::EventLoop& loop,
              platform::KeyedStore& store,
              TermRow self,
+             std::int64_t known_epoch,
              core::Millis watch_ms,
              Done done)
     : loop_(loop),
       store_(store),
       self_(std::move(self)),
+      known_epoch_(known_epoch),
       watch_ms_(watch_ms),
       sequence_(RandomSequence()),
       done_(std::move(done)) {}
@@ -72,6 +74,10 @@
     return;
   }
   former_ = FindTerm(rows_).value_or(TermRow{});
+  if (former_.epoch > known_epoch_) {
+    Lose("the store names a newer holder");
+    return;
+  }
   self_.epoch = former_.epoch + 1;
   loop_.After(watch_ms_, [self = shared_from_this()] { self->Append(); });
 }
--- a/Libraries/LibEntry/claim.h
+++ b/Libraries/LibEntry/claim.h
@@ -30,9 +30,12 @@
  public:
   using Done = std::function<void(ClaimResult)>;
 
+  /// @param known_epoch the newest term that this process has found vacant; a
+  ///     newer one in the store belongs to a holder that may live.
   Claim(net::EventLoop& loop,
         platform::KeyedStore& store,
         TermRow self,
+        std::int64_t known_epoch,
         core::Millis watch_ms,
         Done done);
 
@@ -49,6 +52,7 @@
   platform::KeyedStore& store_;
   TermRow self_;
   TermRow former_;
+  std::int64_t known_epoch_;
   core::Millis watch_ms_;
   std::int64_t sequence_;
   Done done_;
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -156,7 +156,7 @@
         election_.set_rank(SpreadOf(settings_.name) +
                            (far ? kFarDelayMs : 0));
         if (const auto term = FindTerm(read.rows)) {
-          peers_.OnTerm(*term, false);
+          peers_.OnTermStored(*term);
         }
       });
 }
@@ -165,7 +165,7 @@
   claiming_ = true;
   const TermRow self{0, settings_.name, settings_.peer};
   const auto claim = std::make_shared<Claim>(
-      parts_.loop, parts_.store, self, plan.watch_ms,
+      parts_.loop, parts_.store, self, peers_.belief().epoch, plan.watch_ms,
       [this](ClaimResult result) { OnClaimed(std::move(result)); });
   claim->Start();
 }
@@ -177,14 +177,14 @@
                                                {"epoch", result.term.epoch},
                                                {"holder", result.term.name}});
     election_.ClaimFailed(core::SuspendAwareNow());
-    peers_.OnTerm(result.term, false);
+    peers_.OnTermStored(result.term);
     return;
   }
   core::LogEvent(core::Event::kTermClaimed, {{"epoch", result.term.epoch},
                                              {"rows", result.rows.size()}});
-  peers_.OnTerm(result.term, true);
+  peers_.OnTermWon(result.term);
   if (draining_) {
-    peers_.OnTermEnded();
+    peers_.OnTermEnded(result.term.epoch);
     peers_.BeatAll();
     return;
   }
@@ -198,7 +198,7 @@
 }
 
 auto EntryService::OnLost() -> void {
-  peers_.OnTermEnded();
+  peers_.OnTermEnded(holder_->term().epoch);
   // The holder is still on the stack.
   parts_.loop.After(0, [lost = std::exchange(holder_, nullptr)] {});
 }
@@ -214,7 +214,7 @@
     }
     core::LogEvent(core::Event::kTermResigned,
                    {{"epoch", holder_->term().epoch}});
-    peers_.OnTermEnded();
+    peers_.OnTermEnded(holder_->term().epoch);
     parts_.loop.After(0, [ended = std::exchange(holder_, nullptr)] {});
     peers_.BeatAll();
   });
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -19,6 +19,9 @@
 constexpr Millis kAskAllMs = 600;
 /// Silence after which the holder is not asked directly any more.
 constexpr Millis kDirectSilenceMs = 900;
+/// A holder that the store names is heard within this span, if it lives: a
+/// beat and a half.
+constexpr Millis kHearingMs = 450;
 /// A process unheard for this long is not passed on to others.
 constexpr Millis kPeerAgeMs = 5000;
 /// A process unheard for this long is forgotten.
@@ -186,8 +189,7 @@
     if (!address) {
       return;
     }
-    OnTerm({beat.epoch, beat.holder, *address}, false);
-    belief_.heard_at = now - beat.heard_ms;
+    Believe({beat.epoch, beat.holder, *address}, now - beat.heard_ms);
     belief_.resigned = beat.resigned;
   }
   if (beat.epoch < belief_.epoch || beat.epoch == 0) {
@@ -213,24 +215,37 @@
   pending_at_ = now;
 }
 
-auto PeerLink::OnTerm(const TermRow& term, bool alive) -> void {
-  if (term.epoch <= belief_.epoch) {
-    return;
-  }
+auto PeerLink::Believe(const TermRow& term, Millis heard_at) -> void {
   belief_ = {};
   belief_.epoch = term.epoch;
   belief_.name = term.name;
   belief_.address = term.address;
+  belief_.heard_at = heard_at;
   direct_heard_at_ = 0;
-  if (alive) {
-    belief_.heard_at = core::SuspendAwareNow();
-  }
   core::LogEvent(core::Event::kHolderChanged,
                  {{"epoch", term.epoch},
                   {"holder", term.name},
                   {"address", term.address.ToString()}});
 }
 
+auto PeerLink::OnTermWon(const TermRow& term) -> void {
+  Believe(term, core::SuspendAwareNow());
+}
+
+auto PeerLink::OnTermStored(const TermRow& term) -> void {
+  if (term.epoch <= belief_.epoch) {
+    return;
+  }
+  Believe(term, core::SuspendAwareNow() - kDirectSilenceMs + kHearingMs);
+  Send(term.address);
+}
+
+auto PeerLink::OnTermEnded(std::int64_t epoch) -> void {
+  if (belief_.epoch == epoch) {
+    belief_.resigned = true;
+  }
+}
+
 auto PeerLink::HolderRoute() const -> std::optional<core::Address> {
   const auto now = core::SuspendAwareNow();
   if (belief_.epoch == 0 || belief_.resigned) {
--- a/Libraries/LibEntry/peer_link.h
+++ b/Libraries/LibEntry/peer_link.h
@@ -53,10 +53,13 @@
   /// @return the beat to answer with.
   [[nodiscard]] auto OnBeat(const Beat& beat) -> Beat;
 
-  /// The store names the holder, or this process has won the term.
-  auto OnTerm(const TermRow& term, bool alive) -> void;
-  /// This process has lost or resigned the term.
-  auto OnTermEnded() -> void { belief_.resigned = true; }
+  /// This process has won the term.
+  auto OnTermWon(const TermRow& term) -> void;
+  /// The store names the holder. One that was not known is asked at once, and
+  /// gets a moment to be heard.
+  auto OnTermStored(const TermRow& term) -> void;
+  /// This process has lost or resigned a term.
+  auto OnTermEnded(std::int64_t epoch) -> void;
 
   [[nodiscard]] auto belief() const -> const HolderBelief& { return belief_; }
   [[nodiscard]] auto peer_heard_at() const -> core::Millis {
@@ -85,6 +88,7 @@
   [[nodiscard]] auto MakeBeat() const -> Beat;
   auto Send(const core::Address& address) -> void;
   auto Merge(const Beat& beat) -> void;
+  auto Believe(const TermRow& term, core::Millis heard_at) -> void;
   auto MergeHolder(const Beat& beat, const core::Address& from) -> void;
   auto Learn(const std::string& address) -> Peer*;
 
--- a/Tests/LibDispatch/dispatch_world.h
+++ b/Tests/LibDispatch/dispatch_world.h
@@ -169,6 +169,8 @@
   std::vector<std::string> broken;
   /// Prints what the dispatcher decides.
   bool verbose = false;
+  /// Told of each call before it is delivered.
+  std::function<void(const WorkerCall&)> on_call;
   WorldFaults faults;
   bool store_up = true;
   core::Millis store_ms = 10;
@@ -213,6 +215,9 @@
       List();
     }
     for (const auto& call : dispatcher_->TakeCalls(Now(), true)) {
+      if (on_call) {
+        on_call(call);
+      }
       Deliver(call);
     }
     Store();
--- a/Tests/LibEntry/claim_test.cc
+++ b/Tests/LibEntry/claim_test.cc
@@ -13,9 +13,10 @@
                 FakeStore& store,
                 const std::string& name,
                 std::vector<ClaimResult>& results,
-                std::size_t expected) -> void {
+                std::size_t expected,
+                std::int64_t known_epoch = 0) -> void {
   const auto claim = std::make_shared<Claim>(
-      loop, store, TermRow{0, name, {"10.0.0.1", 1}}, 0,
+      loop, store, TermRow{0, name, {"10.0.0.1", 1}}, known_epoch, 0,
       [&loop, &results, expected](ClaimResult result) {
         results.push_back(std::move(result));
         if (results.size() == expected) {
@@ -67,12 +68,27 @@
   StartClaim(loop, store, "a", results, 1);
   loop.Run();
   results.clear();
-  StartClaim(loop, store, "b", results, 1);
+  StartClaim(loop, store, "b", results, 1, 1);
   loop.Run();
   ASSERT_TRUE(results[0].won);
   EXPECT_EQ(results[0].term.epoch, 2);
   EXPECT_EQ(FindTerm({{kTermKey, store.state.at(kTermKey)}})->name, "b");
 }
 
+// On a calm day the term changed 88 times: a process that had not heard yet of
+// the first holder read its row in the store and claimed over it.
+TEST(Claim, LeavesAHolderAloneOfWhichItHasNotHeard) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  std::vector<ClaimResult> results;
+  StartClaim(loop, store, "a", results, 1);
+  loop.Run();
+  results.clear();
+  StartClaim(loop, store, "b", results, 1);
+  loop.Run();
+  EXPECT_FALSE(results[0].won);
+  EXPECT_EQ(results[0].term.name, "a");
+}
+
 }  // namespace
 }  // namespace kcm::entry
