LibDispatch: Evict for urgent work in time, and wait for room that opens

Ruled out: placement order (urgent units came first in each pass). An urgent job that can still be in time now evicts lower priorities where that throws away less than its own work, and nobody evicts for room that opens within 300 ms.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -61,9 +61,10 @@
   }
 }
 
-auto Dispatcher::SetQueues(std::map<std::string, QueuePolicy> queues) -> void {
-  for (auto& [name, policy] : queues) {
-    queues_.insert_or_assign(name, std::move(policy));
+auto Dispatcher::SetQueues(const std::map<std::string, QueuePolicy>& queues)
+    -> void {
+  for (const auto& [name, policy] : queues) {
+    queues_.insert_or_assign(name, policy);
   }
   next_plan_at_ = 0;
 }
@@ -88,11 +89,10 @@
       Apply(info.id, ended, now);
     }
     if (is_new || old_life != info.life) {
-      AddNote(core::Event::kWorkerListed,
-              {{"worker", info.id},
-               {"life", info.life},
-               {"rack", info.rack},
-               {"draining", info.draining}});
+      AddNote(core::Event::kWorkerListed, {{"worker", info.id},
+                                           {"life", info.life},
+                                           {"rack", info.rack},
+                                           {"draining", info.draining}});
     }
   }
   next_plan_at_ = 0;
@@ -111,12 +111,11 @@
   auto& job = book_.Add(std::move(spec));
   job.batch = next_batch_;
   next_plan_at_ = 0;
-  AddNote(core::Event::kJobAccepted,
-          {{"job", job.spec.id},
-           {"queue", job.spec.queue},
-           {"account", job.spec.account},
-           {"steps", job.spec.steps.size()},
-           {"batch", job.batch}});
+  AddNote(core::Event::kJobAccepted, {{"job", job.spec.id},
+                                      {"queue", job.spec.queue},
+                                      {"account", job.spec.account},
+                                      {"steps", job.spec.steps.size()},
+                                      {"batch", job.batch}});
   return {job.phase, job.batch};
 }
 
@@ -177,12 +176,11 @@
   auto& session = found->second;
   if (const auto* start = std::get_if<StartCall>(&call.what)) {
     if (result.end != CallEnd::kDone) {
-      AddNote(core::Event::kStartRefused,
-              {{"job", start->task.job},
-               {"task", start->task.index},
-               {"attempt", start->attempt},
-               {"worker", call.worker},
-               {"how", core::NameOf(result.end)}});
+      AddNote(core::Event::kStartRefused, {{"job", start->task.job},
+                                           {"task", start->task.index},
+                                           {"attempt", start->attempt},
+                                           {"worker", call.worker},
+                                           {"how", core::NameOf(result.end)}});
       if (result.end != CallEnd::kSuperseded && result.end != CallEnd::kLate) {
         health_.Refused(call.worker, now.steady);
       }
@@ -193,8 +191,7 @@
   } else if (const auto* stop = std::get_if<StopCall>(&call.what)) {
     session.OnStop(*stop, result, now.steady);
   } else if (const auto* look = std::get_if<LookCall>(&call.what)) {
-    const auto gone =
-        session.OnLook(*look, result, call.sent_at, now.steady);
+    const auto gone = session.OnLook(*look, result, call.sent_at, now.steady);
     for (const auto& ended : gone) {
       Apply(call.worker, ended, now);
     }
@@ -215,8 +212,8 @@
   }
   auto& step = *job->FindStep(ended.run.task);
   const auto& spec = job->SpecOf(step);
-  const auto is_newest = task->phase == TaskPhase::kPlaced &&
-                         task->attempt == ended.run.attempt;
+  const auto is_newest =
+      task->phase == TaskPhase::kPlaced && task->attempt == ended.run.attempt;
   if (ended.how == RunEnd::kDone && !spec.long_running) {
     ApplyDone(*job, step, ended, now);
     return;
@@ -253,7 +250,8 @@
   const auto is_gang = job.SpecOf(step).gang;
   for (std::size_t index = 0; index < step.tasks.size(); ++index) {
     auto& member = step.tasks[index];
-    const auto is_ended = static_cast<std::int64_t>(index) == ended.run.task.index;
+    const auto is_ended =
+        static_cast<std::int64_t>(index) == ended.run.task.index;
     if (member.phase == TaskPhase::kDone || (!is_ended && !is_gang)) {
       continue;
     }
@@ -277,8 +275,7 @@
                              Moment now) -> void {
   const auto is_gang = job.SpecOf(step).gang;
   const auto counter =
-      is_gang ? std::size_t{0}
-              : static_cast<std::size_t>(ended.run.task.index);
+      is_gang ? std::size_t{0} : static_cast<std::size_t>(ended.run.task.index);
   auto& ledger = step.tasks[counter];
   ledger.avoid.insert(worker);
   if (health_.Failed(worker, job.spec.id, now.steady)) {
@@ -346,12 +343,11 @@
   for (auto& step : job.steps) {
     StopStep(job, step, now);
   }
-  AddNote(core::Event::kJobEnded,
-          {{"job", job.spec.id},
-           {"queue", job.spec.queue},
-           {"status", core::NameOf(phase)},
-           {"age_ms", now.wall - job.spec.accepted_at},
-           {"batch", job.batch}});
+  AddNote(core::Event::kJobEnded, {{"job", job.spec.id},
+                                   {"queue", job.spec.queue},
+                                   {"status", core::NameOf(phase)},
+                                   {"age_ms", now.wall - job.spec.accepted_at},
+                                   {"batch", job.batch}});
 }
 
 auto Dispatcher::Tick(Moment now) -> void {
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -60,7 +60,7 @@
     settings_ = settings;
   }
   /// Replaces the queues; jobs of a dropped queue keep its last policy.
-  auto SetQueues(std::map<std::string, QueuePolicy> queues) -> void;
+  auto SetQueues(const std::map<std::string, QueuePolicy>& queues) -> void;
   /// Replaces the accelerators that are guaranteed to each client account.
   auto SetGuarantees(std::map<std::string, std::int64_t> guarantees) -> void;
   /// Replaces the listed workers.
@@ -126,8 +126,10 @@
                    const EndedRun& ended,
                    Moment now) -> void;
   auto Release(Job& job, Step& step, std::size_t index, Moment now) -> void;
-  auto Learn(const Job& job, const Step& step, const EndedRun& ended, Moment now)
-      -> void;
+  auto Learn(const Job& job,
+             const Step& step,
+             const EndedRun& ended,
+             Moment now) -> void;
   auto StopRun(const TaskId& task, Moment now) -> void;
   auto StopStep(Job& job, Step& step, Moment now) -> void;
   auto EndJob(Job& job, JobPhase phase, Moment now) -> void;
@@ -149,8 +151,14 @@
       -> void;
   auto Place(Unit& unit, const Seats& seats, FleetView& fleet, Moment now)
       -> void;
-  auto Evict(const Unit& unit, const SeatRequest& request, FleetView& fleet,
-             Moment now) -> void;
+  /// @return whether room is being made.
+  auto Evict(const Unit& unit,
+             const SeatRequest& request,
+             FleetView& fleet,
+             Moment now) -> bool;
+  auto StopVictims(const std::vector<TaskId>& victims,
+                   const std::string& beneficiary,
+                   Moment now) -> void;
   auto AddNote(core::Event event, core::Json fields) -> void {
     notes_.push_back({event, std::move(fields)});
   }
@@ -167,7 +175,7 @@
   std::uint64_t stored_ = 0;
   core::Millis next_plan_at_ = 0;
   core::Millis next_prune_at_ = 0;
-  /// Guaranteed steps for which room is being made, and until when.
+  /// Urgent steps for which room is being made, and until when.
   std::map<TaskId, core::Millis> evicting_until_;
   std::vector<Note> notes_;
 };
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -14,6 +14,9 @@
 constexpr core::Millis kHungMs = 3000;
 /// Room that is being made for guaranteed work is given this long.
 constexpr core::Millis kEvictionMs = 800;
+/// Room that opens by itself within this span, about as long as a stop takes,
+/// is waited for.
+constexpr core::Millis kNaturalEndMs = 300;
 /// Gangs for which room is kept at the same time.
 constexpr int kMaxReservations = 2;
 /// Weight of an accelerator against a core in work that is thrown away.
@@ -169,12 +172,11 @@
     seated.expected_end += std::max<core::Millis>(expected - elapsed, 0);
   }
   const auto members = spec.gang ? static_cast<double>(spec.tasks) : 1.0;
-  const auto lost = spec.checkpoints
-                        ? std::min(elapsed, settings_.checkpoint_ms)
-                        : elapsed;
-  seated.loss =
-      members * WeightOf(run.demand) * static_cast<double>(lost + 1);
-  seated.evictable = !covered.contains(run.task.job);
+  const auto lost =
+      spec.checkpoints ? std::min(elapsed, settings_.checkpoint_ms) : elapsed;
+  seated.loss = members * WeightOf(run.demand) * static_cast<double>(lost + 1);
+  seated.guaranteed = covered.contains(run.task.job);
+  seated.priority = PolicyOf(*job).priority;
   return seated;
 }
 
@@ -223,6 +225,8 @@
   request.tasks = static_cast<std::int64_t>(unit.tasks.size());
   request.now = now.steady;
   request.run_ms = ExpectedRunMs(*unit.job, spec, estimates_);
+  request.guaranteed = unit.rank.tier == JobTier::kGuaranteed;
+  request.priority = unit.rank.priority;
   for (const auto& task : unit.step->tasks) {
     if (task.phase == TaskPhase::kPlaced) {
       ++request.seated[task.worker];
@@ -249,21 +253,23 @@
     }
     request = RequestOf(unit, fleet, now);
   }
-  const auto guaranteed = unit.rank.tier == JobTier::kGuaranteed;
-  if (guaranteed) {
-    Evict(unit, request, fleet, now);
+  const auto is_urgent =
+      unit.rank.tier == JobTier::kGuaranteed ||
+      (unit.rank.tier == JobTier::kInTime && unit.rank.priority == 0);
+  const auto future = spec.gang || is_urgent ? FindFutureSeats(fleet, request)
+                                             : std::nullopt;
+  const auto opens_soon = future && future->at - now.steady <= kNaturalEndMs;
+  if (is_urgent && !opens_soon && Evict(unit, request, fleet, now)) {
     return;
   }
-  if (!spec.gang || reservations >= kMaxReservations) {
+  if (!future || (!opens_soon && reservations >= kMaxReservations)) {
     return;
   }
-  if (const auto future = FindFutureSeats(fleet, request)) {
-    ++reservations;
-    for (const auto seat : future->seats) {
-      auto& slot = fleet.slots[seat];
-      slot.reserved += spec.demand;
-      slot.reserved_until = std::max(slot.reserved_until, future->at);
-    }
+  reservations += opens_soon ? 0 : 1;
+  for (const auto seat : future->seats) {
+    auto& slot = fleet.slots[seat];
+    slot.reserved += spec.demand;
+    slot.reserved_until = std::max(slot.reserved_until, future->at);
   }
 }
 
@@ -308,33 +314,28 @@
            {"urgency_ms", static_cast<std::int64_t>(unit.rank.urgency)},
            {"age_ms", now.wall - job.spec.accepted_at}});
   job.phase = JobPhase::kRunning;
-  unit.tasks.erase(unit.tasks.begin(),
-                   unit.tasks.begin() + static_cast<std::ptrdiff_t>(seats.size()));
+  evicting_until_.erase(job.IdOf(step, 0));
+  unit.tasks.erase(
+      unit.tasks.begin(),
+      unit.tasks.begin() + static_cast<std::ptrdiff_t>(seats.size()));
 }
 
 auto Dispatcher::Evict(const Unit& unit,
                        const SeatRequest& request,
                        FleetView& fleet,
-                       Moment now) -> void {
+                       Moment now) -> bool {
   const auto& spec = unit.job->SpecOf(*unit.step);
-  const auto key = unit.job->IdOf(*unit.step, 0);
   auto seats = FindSeatsAfterStops(fleet, request);
-  auto& until = evicting_until_[key];
+  auto& until = evicting_until_[unit.job->IdOf(*unit.step, 0)];
   if (static_cast<std::int64_t>(seats.size()) < request.tasks &&
       now.steady >= until) {
-    if (const auto plan = FindEvictions(fleet, request)) {
+    const auto plan = FindEvictions(fleet, request);
+    const auto own_work = WeightOf(spec.demand) *
+                          static_cast<double>(request.tasks * request.run_ms);
+    // What is owed is taken back at any price.
+    if (plan && (request.guaranteed || plan->loss <= own_work)) {
       until = now.steady + kEvictionMs;
-      for (const auto& victim : plan->victims) {
-        auto* job = book_.Find(victim.job);
-        AddNote(core::Event::kRunEvicted, {{"job", victim.job},
-                                           {"task", victim.index},
-                                           {"for_job", unit.job->spec.id}});
-        if (job->SpecOf(*job->FindStep(victim)).gang) {
-          StopStep(*job, *job->FindStep(victim), now);
-        } else {
-          StopRun(victim, now);
-        }
-      }
+      StopVictims(plan->victims, unit.job->spec.id, now);
       seats = plan->seats;
     }
   }
@@ -342,6 +343,24 @@
   for (const auto seat : seats) {
     fleet.slots[seat].free -= spec.demand;
   }
+  return !seats.empty();
+}
+
+auto Dispatcher::StopVictims(const std::vector<TaskId>& victims,
+                             const std::string& beneficiary,
+                             Moment now) -> void {
+  for (const auto& victim : victims) {
+    auto* job = book_.Find(victim.job);
+    AddNote(core::Event::kRunEvicted, {{"job", victim.job},
+                                       {"task", victim.index},
+                                       {"for_job", beneficiary}});
+    auto& step = *job->FindStep(victim);
+    if (job->SpecOf(step).gang) {
+      StopStep(*job, step, now);
+    } else {
+      StopRun(victim, now);
+    }
+  }
 }
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/fleet_view.h
+++ b/Libraries/LibDispatch/fleet_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,8 +21,9 @@
   core::Millis expected_end = 0;
   /// Core-milliseconds that a stop would throw away, of its whole gang.
   double loss = 0;
-  /// May be stopped for the sake of guaranteed work.
-  bool evictable = false;
+  /// Belongs to work that is owed to its account, which nobody may stop.
+  bool guaranteed = false;
+  std::int64_t priority = 0;
   bool stopping = false;
 };
 
--- a/Libraries/LibDispatch/job.cc
+++ b/Libraries/LibDispatch/job.cc
@@ -15,11 +15,9 @@
       step.spec = number;
       step.occurrence = occurrence;
       if (job.spec.repeats > 0) {
-        step.due_at =
-            job.spec.first_due_at + occurrence * job.spec.period_ms;
+        step.due_at = job.spec.first_due_at + occurrence * job.spec.period_ms;
       }
-      step.tasks.resize(
-          static_cast<std::size_t>(job.spec.steps[number].tasks));
+      step.tasks.resize(static_cast<std::size_t>(job.spec.steps[number].tasks));
       job.steps.push_back(std::move(step));
     }
   }
@@ -46,15 +44,14 @@
 }
 
 auto Job::IsUnlocked(const Step& step) const -> bool {
-  const auto first = static_cast<std::size_t>(step.occurrence) *
-                     spec.steps.size();
-  return std::all_of(SpecOf(step).after.begin(), SpecOf(step).after.end(),
-                     [&](std::int64_t number) {
-                       const auto& before =
-                           steps[first + static_cast<std::size_t>(number)];
-                       return before.done ==
-                              static_cast<std::int64_t>(before.tasks.size());
-                     });
+  const auto first =
+      static_cast<std::size_t>(step.occurrence) * spec.steps.size();
+  return std::all_of(
+      SpecOf(step).after.begin(), SpecOf(step).after.end(),
+      [&](std::int64_t number) {
+        const auto& before = steps[first + static_cast<std::size_t>(number)];
+        return before.done == static_cast<std::int64_t>(before.tasks.size());
+      });
 }
 
 auto Job::IsDone() const -> bool {
--- a/Libraries/LibDispatch/job_book.cc
+++ b/Libraries/LibDispatch/job_book.cc
@@ -93,7 +93,7 @@
     const std::vector<Row>& rows,
     const std::function<void(const std::string& key,
                              const core::Reason& reason)>& rejected) -> void {
-  using Loader = auto (JobBook::*)(const Row&, core::Reason&)->bool;
+  using Loader = auto(JobBook::*)(const Row&, core::Reason&)->bool;
   struct Pass {
     std::string_view prefix;
     Loader load;
@@ -167,7 +167,8 @@
 
 auto JobBook::Add(JobSpec spec) -> Job& {
   const auto id = spec.id;
-  auto& job = jobs_.insert_or_assign(id, MakeJob(std::move(spec))).first->second;
+  auto& job =
+      jobs_.insert_or_assign(id, MakeJob(std::move(spec))).first->second;
   rows_.push_back(RowOfJob(job));
   return job;
 }
--- a/Libraries/LibDispatch/job_order.cc
+++ b/Libraries/LibDispatch/job_order.cc
@@ -19,9 +19,9 @@
   for (const auto& step : job.steps) {
     const auto& spec = job.SpecOf(step);
     const auto left = spec.tasks - step.done;
-    work += static_cast<double>(left * ExpectedRunMs(job, spec, estimates) *
-                                std::max<std::int64_t>(
-                                    spec.demand.accelerators, 1));
+    work += static_cast<double>(
+        left * ExpectedRunMs(job, spec, estimates) *
+        std::max<std::int64_t>(spec.demand.accelerators, 1));
   }
   return work;
 }
@@ -30,11 +30,10 @@
 
 auto ExpectedRunMs(const Job& job,
                    const StepSpec& step,
-                   const schedule::RunTimeEstimate& estimates)
-    -> core::Millis {
+                   const schedule::RunTimeEstimate& estimates) -> core::Millis {
   return std::max<core::Millis>(
-      estimates.Expect(job.spec.queue, std::max<core::Millis>(
-                                           step.estimate_ms, 1)),
+      estimates.Expect(job.spec.queue,
+                       std::max<core::Millis>(step.estimate_ms, 1)),
       1);
 }
 
@@ -54,8 +53,7 @@
     }
     const auto is_done =
         !whole && step.done == static_cast<std::int64_t>(step.tasks.size());
-    ends[index] =
-        begin + (is_done ? 0 : ExpectedRunMs(job, spec, estimates));
+    ends[index] = begin + (is_done ? 0 : ExpectedRunMs(job, spec, estimates));
     longest = std::max(longest, ends[index]);
   }
   return longest;
@@ -68,8 +66,8 @@
             core::Millis now) -> JobRank {
   const auto chain = static_cast<double>(LongestChainMs(job, estimates, true));
   const auto left = static_cast<double>(LongestChainMs(job, estimates, false));
-  const auto objective =
-      policy.slack_factor * chain + static_cast<double>(policy.target_latency_ms);
+  const auto objective = policy.slack_factor * chain +
+                         static_cast<double>(policy.target_latency_ms);
   const auto age = static_cast<double>(now - job.spec.accepted_at);
   JobRank rank;
   rank.priority = policy.priority;
@@ -83,8 +81,8 @@
     rank.tier = JobTier::kInTime;
     return rank;
   }
-  rank.tier = age + left < kLatestUse * objective ? JobTier::kLate
-                                                  : JobTier::kExpired;
+  rank.tier =
+      age + left < kLatestUse * objective ? JobTier::kLate : JobTier::kExpired;
   rank.urgency = WorkLeft(job, estimates);
   return rank;
 }
--- a/Libraries/LibDispatch/job_order.h
+++ b/Libraries/LibDispatch/job_order.h
@@ -30,7 +30,8 @@
   double urgency = 0;
   core::Millis accepted_at = 0;
 
-  auto operator<=>(const JobRank&) const = default;  // NOLINT(modernize-use-nullptr)
+  auto operator<=>(const JobRank&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// @return the run time to expect of one task of a step.
--- a/Libraries/LibDispatch/seat_finder.cc
+++ b/Libraries/LibDispatch/seat_finder.cc
@@ -26,9 +26,8 @@
 };
 
 auto HasLabel(const WorkerInfo& info, const std::string& label) -> bool {
-  return label.empty() ||
-         std::find(info.labels.begin(), info.labels.end(), label) !=
-             info.labels.end();
+  return label.empty() || std::find(info.labels.begin(), info.labels.end(),
+                                    label) != info.labels.end();
 }
 
 auto MaySit(const WorkerSlot& slot, const SeatRequest& request) -> bool {
@@ -66,13 +65,12 @@
       candidates.push_back({index, copies, room});
     }
   }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& left, const Candidate& right) {
-                     return std::pair(left.room.accelerators,
-                                      left.room.millicores) <
-                            std::pair(right.room.accelerators,
-                                      right.room.millicores);
-                   });
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& left, const Candidate& right) {
+        return std::pair(left.room.accelerators, left.room.millicores) <
+               std::pair(right.room.accelerators, right.room.millicores);
+      });
   Seats seats;
   for (const auto& candidate : candidates) {
     for (std::int64_t copy = 0; copy < candidate.copies; ++copy) {
@@ -234,6 +232,11 @@
   return future;
 }
 
+auto MayEvict(const SeatRequest& request, const SeatedRun& run) -> bool {
+  return !run.stopping && !run.guaranteed &&
+         (request.guaranteed || run.priority > request.priority);
+}
+
 /// Victims on one worker that make room for one more task.
 struct Eviction {
   std::vector<std::size_t> runs;
@@ -255,7 +258,7 @@
     }
     std::vector<std::size_t> order;
     for (std::size_t run = 0; run < slot->runs.size(); ++run) {
-      if (slot->runs[run].evictable && !gone[run]) {
+      if (MayEvict(request, slot->runs[run]) && !gone[run]) {
         order.push_back(run);
       }
     }
@@ -293,8 +296,9 @@
   }
 };
 
-auto EvictIn(const FleetView& fleet, const SeatRequest& request, SlotRange range)
-    -> std::optional<EvictionPlan> {
+auto EvictIn(const FleetView& fleet,
+             const SeatRequest& request,
+             SlotRange range) -> std::optional<EvictionPlan> {
   std::vector<Evictor> evictors;
   for (auto index = range.first; index < range.last; ++index) {
     const auto& slot = fleet.slots[index];
--- a/Libraries/LibDispatch/seat_finder.h
+++ b/Libraries/LibDispatch/seat_finder.h
@@ -25,6 +25,10 @@
   std::set<std::string> avoid;
   core::Millis now = 0;
   core::Millis run_ms = 0;
+  /// The tasks are owed to their account and may evict all that is not.
+  bool guaranteed = false;
+  /// Priority of the tasks; others evict what comes behind them only.
+  std::int64_t priority = 0;
 };
 
 /// Slot of each task that was seated.
--- a/Libraries/LibDispatch/task_id.h
+++ b/Libraries/LibDispatch/task_id.h
@@ -16,7 +16,8 @@
   /// Number of the task in its step.
   std::int64_t index = 0;
 
-  auto operator<=>(const TaskId&) const = default;  // NOLINT(modernize-use-nullptr)
+  auto operator<=>(const TaskId&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_clock.h
+++ b/Libraries/LibDispatch/worker_clock.h
@@ -28,7 +28,8 @@
 
   /// @return a value that the worker's clock has passed for sure.
   [[nodiscard]] auto Earliest(core::Millis now) const -> core::Millis {
-    const auto elapsed = std::max<core::Millis>(now - seen_at_.value_or(now), 0);
+    const auto elapsed =
+        std::max<core::Millis>(now - seen_at_.value_or(now), 0);
     return clock_ms_ + elapsed - elapsed / kSlowestDrift;
   }
 
--- a/Libraries/LibDispatch/worker_health.cc
+++ b/Libraries/LibDispatch/worker_health.cc
@@ -46,8 +46,8 @@
   }
 }
 
-auto WorkerHealth::IsCordoned(const std::string& worker,
-                              core::Millis now) const -> bool {
+auto WorkerHealth::IsCordoned(const std::string& worker, core::Millis now) const
+    -> bool {
   const auto found = records_.find(worker);
   return found != records_.end() && now < found->second.cordoned_until;
 }
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -140,8 +140,8 @@
     }
     if (run.phase == RunPhase::kStarting && run.batch <= stored && may_renew) {
       auto call = CallOf(now);
-      call.what = StartCall{task, run.attempt, run.payload, run.checkpoint,
-                            Grant(now)};
+      call.what =
+          StartCall{task, run.attempt, run.payload, run.checkpoint, Grant(now)};
       run.start_sent = true;
       run.call_in_flight = true;
       calls.push_back(std::move(call));
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -117,9 +117,8 @@
                    bool may_renew,
                    std::vector<WorkerCall>& calls) -> void;
   auto AddStrayCalls(core::Millis now, std::vector<WorkerCall>& calls) -> void;
-  auto AddLook(core::Millis now,
-               bool may_renew,
-               std::vector<WorkerCall>& calls) -> void;
+  auto AddLook(core::Millis now, bool may_renew, std::vector<WorkerCall>& calls)
+      -> void;
   auto TakeEnds(const LookReport& report, std::vector<EndedRun>& gone) -> void;
   auto TakeRunning(const LookReport& report,
                    core::Millis sent_at,
--- a/Libraries/LibEntry/claim.cc
+++ b/Libraries/LibEntry/claim.cc
@@ -44,11 +44,11 @@
       done_(std::move(done)) {}
 
 auto Claim::Read(const std::string& after) -> void {
-  store_.ReadNewest(platform::Table::kState, after, kReadTimeoutMs,
-                    [self = shared_from_this(), after](
-                        platform::TableRead read) {
-                      self->OnPage(after, std::move(read));
-                    });
+  store_.ReadNewest(
+      platform::Table::kState, after, kReadTimeoutMs,
+      [self = shared_from_this(), after](platform::TableRead read) {
+        self->OnPage(after, std::move(read));
+      });
 }
 
 auto Claim::OnPage(const std::string& after, platform::TableRead read) -> void {
@@ -84,9 +84,8 @@
 
 auto Claim::Append() -> void {
   ++appends_;
-  store_.Append({EncodeTerm(self_)},
-                {kWriterName, self_.epoch, sequence_}, end_offset_,
-                kAppendTimeoutMs,
+  store_.Append({EncodeTerm(self_)}, {kWriterName, self_.epoch, sequence_},
+                end_offset_, kAppendTimeoutMs,
                 [self = shared_from_this()](platform::StoreEnd end) {
                   self->OnAppended(end);
                 });
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -70,8 +70,7 @@
 EntryService::EntryService(EntryParts parts, const EntrySettings& settings)
     : parts_(parts),
       settings_(settings),
-      peers_(parts.loop,
-             parts.http,
+      peers_(parts.http,
              settings,
              [this] {
                PeerLink::Self self;
@@ -133,9 +132,8 @@
   if (holder_ != nullptr || claiming_ || draining_) {
     return;
   }
-  if (const auto plan = election_.Decide(peers_.belief(),
-                                         peers_.peer_heard_at(),
-                                         peers_.has_peers(), now)) {
+  if (const auto plan = election_.Decide(
+          peers_.belief(), peers_.peer_heard_at(), peers_.has_peers(), now)) {
     StartClaim(*plan);
   } else if (now >= next_peek_at_ && !peers_.HolderRoute()) {
     next_peek_at_ = now + kPeekMs;
@@ -151,10 +149,8 @@
         if (!read.answered) {
           return;
         }
-        const auto far =
-            core::SuspendAwareNow() - sent_at > kFarRoundTripMs;
-        election_.set_rank(SpreadOf(settings_.name) +
-                           (far ? kFarDelayMs : 0));
+        const auto far = core::SuspendAwareNow() - sent_at > kFarRoundTripMs;
+        election_.set_rank(SpreadOf(settings_.name) + (far ? kFarDelayMs : 0));
         if (const auto term = FindTerm(read.rows)) {
           peers_.OnTermStored(*term);
         }
@@ -180,8 +176,8 @@
     peers_.OnTermStored(result.term);
     return;
   }
-  core::LogEvent(core::Event::kTermClaimed, {{"epoch", result.term.epoch},
-                                             {"rows", result.rows.size()}});
+  core::LogEvent(core::Event::kTermClaimed,
+                 {{"epoch", result.term.epoch}, {"rows", result.rows.size()}});
   peers_.OnTermWon(result.term);
   if (draining_) {
     peers_.OnTermEnded(result.term.epoch);
@@ -243,10 +239,9 @@
     return;
   }
   routes_ = std::move(routes);
-  core::LogEvent(core::Event::kRoutesTaken,
-                 {{"version", routes_.version},
-                  {"routes", routes_.routes.size()},
-                  {"from", source}});
+  core::LogEvent(core::Event::kRoutesTaken, {{"version", routes_.version},
+                                             {"routes", routes_.routes.size()},
+                                             {"from", source}});
   if (holder_ != nullptr) {
     holder_->SetRoutes(routes_);
   }
@@ -270,8 +265,7 @@
           OfferRoutes(document.get<RouteTable>(), peer.ToString());
         } catch (const core::Json::exception& error) {
           core::LogEvent(core::Event::kBadMessage,
-                         {{"from", peer.ToString()},
-                          {"error", error.what()}});
+                         {{"from", peer.ToString()}, {"error", error.what()}});
         }
       });
 }
--- a/Libraries/LibEntry/front_desk.cc
+++ b/Libraries/LibEntry/front_desk.cc
@@ -35,8 +35,7 @@
     RefusalRow{ErrorKind::kDraining,
                "This scheduler is leaving; the request was not taken.", 1000},
     RefusalRow{ErrorKind::kOutcomeUnknown,
-               "Whether the request was taken is not known; send it again.",
-               0},
+               "Whether the request was taken is not known; send it again.", 0},
     RefusalRow{ErrorKind::kGone, "There is no such job.", 0},
 };
 
--- a/Libraries/LibEntry/front_desk.h
+++ b/Libraries/LibEntry/front_desk.h
@@ -17,9 +17,9 @@
  public:
   using Done = std::function<void(ClientAnswer)>;
   /// Reads the body of a submission.
-  using ReadJob = std::function<std::optional<dispatch::JobSpec>(
-      const std::string& body,
-      core::Reason& reason)>;
+  using ReadJob =
+      std::function<std::optional<dispatch::JobSpec>(const std::string& body,
+                                                     core::Reason& reason)>;
   /// @return unstarted jobs of a queue, or nothing when nobody can tell.
   using PendingOf =
       std::function<std::optional<std::int64_t>(const std::string& queue)>;
--- a/Libraries/LibEntry/holder.cc
+++ b/Libraries/LibEntry/holder.cc
@@ -262,18 +262,20 @@
   }
 }
 
-auto Holder::AnswerAt(std::uint64_t batch, HolderAnswer answer, AnswerDone done)
-    -> void {
+auto Holder::AnswerAt(std::uint64_t batch,
+                      HolderAnswer answer,
+                      const AnswerDone& done) -> void {
   if (batch <= dispatcher_.stored()) {
     done(answer);
     return;
   }
-  waiters_.emplace(batch, Waiter{std::move(done), answer});
+  waiters_.emplace(batch, Waiter{done, answer});
 }
 
-auto Holder::Handle(const HolderRequest& request, AnswerDone done) -> void {
+auto Holder::Handle(const HolderRequest& request, const AnswerDone& done)
+    -> void {
   using Handler =
-      auto (Holder::*)(const HolderRequest&, AnswerDone)->void;
+      auto(Holder::*)(const HolderRequest&, const AnswerDone&)->void;
   struct VerbRow {
     JobVerb verb;
     Handler handler;
@@ -285,15 +287,15 @@
     done({ErrorKind::kDraining, {}, true});
     return;
   }
-  for (const auto& row : kVerbs) {
-    if (row.verb == request.verb) {
-      (this->*row.handler)(request, std::move(done));
-    }
-  }
+  const auto* const row = std::find_if(
+      kVerbs.begin(), kVerbs.end(),
+      [&](const VerbRow& candidate) { return candidate.verb == request.verb; });
+  (this->*row->handler)(request, done);
   Pump();
 }
 
-auto Holder::Submit(const HolderRequest& request, AnswerDone done) -> void {
+auto Holder::Submit(const HolderRequest& request, const AnswerDone& done)
+    -> void {
   const auto known = dispatcher_.Find(request.job);
   const auto stalled =
       append_ && core::SuspendAwareNow() - append_->first_sent_at > kStalledMs;
@@ -302,18 +304,20 @@
     return;
   }
   const auto view = dispatcher_.Submit(request.spec, Now());
-  AnswerAt(view.batch, {ErrorKind::kNone, view.phase, false}, std::move(done));
+  AnswerAt(view.batch, {ErrorKind::kNone, view.phase, false}, done);
 }
 
 auto Holder::MayNotBeKnownYet() const -> bool {
   return core::SuspendAwareNow() - confirmed_at_ > kFreshMs;
 }
 
-auto Holder::Read(const HolderRequest& request, AnswerDone done) -> void {
+auto Holder::Read(const HolderRequest& request, const AnswerDone& done)
+    -> void {
   const auto view = dispatcher_.Find(request.job);
   if (!view || (!request.account.empty() &&
                 dispatcher_.AccountOf(request.job) != request.account)) {
-    done({MayNotBeKnownYet() ? ErrorKind::kLogDown : ErrorKind::kGone, {},
+    done({MayNotBeKnownYet() ? ErrorKind::kLogDown : ErrorKind::kGone,
+          {},
           false});
     return;
   }
@@ -325,17 +329,18 @@
   done({ErrorKind::kNone, phase, false});
 }
 
-auto Holder::Cancel(const HolderRequest& request, AnswerDone done) -> void {
+auto Holder::Cancel(const HolderRequest& request, const AnswerDone& done)
+    -> void {
   const auto known = dispatcher_.Find(request.job);
   if (!known || (!request.account.empty() &&
                  dispatcher_.AccountOf(request.job) != request.account)) {
-    done({MayNotBeKnownYet() ? ErrorKind::kLogDown : ErrorKind::kGone, {},
+    done({MayNotBeKnownYet() ? ErrorKind::kLogDown : ErrorKind::kGone,
+          {},
           false});
     return;
   }
   const auto view = dispatcher_.Cancel(request.job, Now());
-  AnswerAt(view->batch, {ErrorKind::kNone, view->phase, false},
-           std::move(done));
+  AnswerAt(view->batch, {ErrorKind::kNone, view->phase, false}, done);
 }
 
 }  // namespace kcm::entry
--- a/Libraries/LibEntry/holder.h
+++ b/Libraries/LibEntry/holder.h
@@ -53,7 +53,7 @@
   auto SetRoutes(const RouteTable& routes) -> void;
 
   /// Answers a request once what it depends on is stored.
-  auto Handle(const HolderRequest& request, AnswerDone done) -> void;
+  auto Handle(const HolderRequest& request, const AnswerDone& done) -> void;
 
   /// Does whatever is due.
   auto Pump() -> void;
@@ -94,11 +94,12 @@
   auto LogNotes() -> void;
   auto Lose() -> void;
   auto OnFleet(const std::vector<dispatch::Row>& rows, bool whole) -> void;
-  auto AnswerAt(std::uint64_t batch, HolderAnswer answer, AnswerDone done)
-      -> void;
-  auto Submit(const HolderRequest& request, AnswerDone done) -> void;
-  auto Read(const HolderRequest& request, AnswerDone done) -> void;
-  auto Cancel(const HolderRequest& request, AnswerDone done) -> void;
+  auto AnswerAt(std::uint64_t batch,
+                HolderAnswer answer,
+                const AnswerDone& done) -> void;
+  auto Submit(const HolderRequest& request, const AnswerDone& done) -> void;
+  auto Read(const HolderRequest& request, const AnswerDone& done) -> void;
+  auto Cancel(const HolderRequest& request, const AnswerDone& done) -> void;
   [[nodiscard]] auto MayNotBeKnownYet() const -> bool;
 
   HolderParts parts_;
--- a/Libraries/LibEntry/holder_link.cc
+++ b/Libraries/LibEntry/holder_link.cc
@@ -32,10 +32,10 @@
 }
 
 auto HolderLink::GiveUp(const Pending& pending) -> void {
-  pending.done({pending.in_doubt ? ErrorKind::kOutcomeUnknown
-                                 : ErrorKind::kNoEndpoint,
-                {},
-                true});
+  pending.done(
+      {pending.in_doubt ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoEndpoint,
+       {},
+       true});
 }
 
 auto HolderLink::Try(const std::shared_ptr<Pending>& pending) -> void {
@@ -50,8 +50,8 @@
         pending->done(answer);
         return;
       }
-      pending->in_doubt = pending->in_doubt ||
-                          answer.error == ErrorKind::kOutcomeUnknown;
+      pending->in_doubt =
+          pending->in_doubt || answer.error == ErrorKind::kOutcomeUnknown;
       TryAgain(pending);
     });
     return;
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -32,12 +32,10 @@
 
 }  // namespace
 
-PeerLink::PeerLink(net::EventLoop& loop,
-                   net::HttpClient& http,
+PeerLink::PeerLink(net::HttpClient& http,
                    const EntrySettings& settings,
                    std::function<Self()> self)
-    : loop_(loop),
-      http_(http),
+    : http_(http),
       self_address_(settings.peer),
       name_(settings.name),
       self_(std::move(self)) {
@@ -147,9 +145,9 @@
         try {
           link.Merge(document.get<Beat>());
         } catch (const core::Json::exception& error) {
-          core::LogEvent(core::Event::kBadMessage,
-                         {{"from", address.ToString()},
-                          {"error", error.what()}});
+          core::LogEvent(
+              core::Event::kBadMessage,
+              {{"from", address.ToString()}, {"error", error.what()}});
         }
       });
 }
--- a/Libraries/LibEntry/peer_link.h
+++ b/Libraries/LibEntry/peer_link.h
@@ -12,7 +12,6 @@
 #include "LibEntry/entry_settings.h"
 #include "LibEntry/holder_belief.h"
 #include "LibEntry/term_row.h"
-#include "LibNet/event_loop.h"
 #include "LibNet/http_client.h"
 
 namespace kcm::entry {
@@ -33,8 +32,7 @@
     std::map<std::string, std::int64_t> pending;
   };
 
-  PeerLink(net::EventLoop& loop,
-           net::HttpClient& http,
+  PeerLink(net::HttpClient& http,
            const EntrySettings& settings,
            std::function<Self()> self);
 
@@ -92,7 +90,6 @@
   auto MergeHolder(const Beat& beat, const core::Address& from) -> void;
   auto Learn(const std::string& address) -> Peer*;
 
-  net::EventLoop& loop_;
   net::HttpClient& http_;
   core::Address self_address_;
   std::string name_;
--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -19,8 +19,8 @@
                              platform::KeyedStore& store,
                              FollowSettings settings,
                              OnRows on_rows)
-    : state_(std::make_shared<State>(State{
-          loop, store, settings, std::move(on_rows), {}, 0, 0})) {
+    : state_(std::make_shared<State>(
+          State{loop, store, settings, std::move(on_rows), {}, 0, 0})) {
   ReadWhole(state_, "");
 }
 
@@ -65,13 +65,13 @@
 }
 
 auto TableFollower::ReadChanges(const std::shared_ptr<State>& state) -> void {
-  state->store.ReadFrom(
-      state->settings.table, state->offset, state->settings.wait_ms,
-      kReadTimeoutMs, [weak = Weak(state)](const platform::TableRead& read) {
-        if (const auto alive = weak.lock()) {
-          OnChanges(alive, read);
-        }
-      });
+  state->store.ReadFrom(state->settings.table, state->offset,
+                        state->settings.wait_ms, kReadTimeoutMs,
+                        [weak = Weak(state)](const platform::TableRead& read) {
+                          if (const auto alive = weak.lock()) {
+                            OnChanges(alive, read);
+                          }
+                        });
 }
 
 auto TableFollower::OnChanges(const std::shared_ptr<State>& state,
--- a/Libraries/LibEntry/term_row.cc
+++ b/Libraries/LibEntry/term_row.cc
@@ -5,9 +5,8 @@
 namespace kcm::entry {
 
 auto EncodeTerm(const TermRow& term) -> dispatch::Row {
-  const auto bytes = core::Json::to_msgpack(
-      core::Json::array({term.epoch, term.name, term.address.host,
-                         term.address.port}));
+  const auto bytes = core::Json::to_msgpack(core::Json::array(
+      {term.epoch, term.name, term.address.host, term.address.port}));
   return {kTermKey, {bytes.begin(), bytes.end()}};
 }
 
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -24,8 +24,8 @@
 };
 
 auto ParseCommandLine(int argc, const char* const* argv) -> CommandLine {
-  cxxopts::Options options("kcm-entry",
-                           "One entry VM of kingcupmast on its users' platform.");
+  cxxopts::Options options(
+      "kcm-entry", "One entry VM of kingcupmast on its users' platform.");
   options.add_options()("config", "settings file of the platform",
                         cxxopts::value<std::string>())(
       "check", "check the settings and leave")("help", "print this text");
@@ -72,10 +72,9 @@
     std::cerr << "kcm-entry: " << reason.message << "\n";
     return kExitUsage;
   }
-  core::LogEvent(core::Event::kStarted,
-                 {{"data_centre", settings->data_centre},
-                  {"store", settings->store.ToString()},
-                  {"seeds", settings->seeds.size()}});
+  core::LogEvent(core::Event::kStarted, {{"data_centre", settings->data_centre},
+                                         {"store", settings->store.ToString()},
+                                         {"seeds", settings->seeds.size()}});
   process.Run();
   core::LogEvent(core::Event::kStopped);
   return 0;
--- a/Tests/LibDispatch/dispatch_world.h
+++ b/Tests/LibDispatch/dispatch_world.h
@@ -48,8 +48,8 @@
       info.life = 1;
       info.service = "pool";
       info.address = {"10.0.0.1", 1};
-      info.rack = "r" + std::to_string(static_cast<int>(workers.size()) /
-                                       per_rack);
+      info.rack =
+          "r" + std::to_string(static_cast<int>(workers.size()) / per_rack);
       info.labels = {"a", info.rack};
       info.capacity = {32000, 131072, 8};
       workers.emplace(info.id, FakeWorker(info));
@@ -93,7 +93,7 @@
     std::ignore = dispatcher_->Cancel(id, Now());
   }
 
-  auto Now() const -> Moment { return {now, now + 1000000}; }
+  [[nodiscard]] auto Now() const -> Moment { return {now, now + 1000000}; }
 
   /// The holder is gone; the next one starts from what is stored.
   auto ReplaceHolder(core::Millis lapse_after = 10500) -> void {
@@ -130,12 +130,12 @@
     return reached();
   }
 
-  auto PhaseOf(const std::string& job) const -> JobPhase {
+  [[nodiscard]] auto PhaseOf(const std::string& job) const -> JobPhase {
     const auto view = dispatcher_->Find(job);
     return view ? view->phase : JobPhase::kFailed;
   }
 
-  auto IsRunningAnywhere(const TaskId& task) const -> int {
+  [[nodiscard]] auto IsRunningAnywhere(const TaskId& task) const -> int {
     int count = 0;
     for (const auto& [id, worker] : workers) {
       count += worker.runs().contains(task) ? 1 : 0;
@@ -143,7 +143,7 @@
     return count;
   }
 
-  auto RunsOf(const std::string& job) const -> int {
+  [[nodiscard]] auto RunsOf(const std::string& job) const -> int {
     int count = 0;
     for (const auto& [id, worker] : workers) {
       for (const auto& [task, run] : worker.runs()) {
@@ -255,7 +255,7 @@
     }
   }
 
-  auto SpecOf(const TaskId& task) const -> const StepSpec& {
+  [[nodiscard]] auto SpecOf(const TaskId& task) const -> const StepSpec& {
     return submitted.at(task.job).steps[static_cast<std::size_t>(task.step)];
   }
 
@@ -278,21 +278,21 @@
       return;
     }
     storing_ = true;
-    Later(store_ms, [this, batch = std::move(*batch),
-                     generation = generation_] {
-      storing_ = false;
-      if (generation != generation_) {
-        return;
-      }
-      for (const auto& row : batch.rows) {
-        if (row.value.empty()) {
-          stored_rows.erase(row.key);
-        } else {
-          stored_rows[row.key] = row.value;
-        }
-      }
-      dispatcher_->Stored(batch.number);
-    });
+    Later(store_ms,
+          [this, batch = std::move(*batch), generation = generation_] {
+            storing_ = false;
+            if (generation != generation_) {
+              return;
+            }
+            for (const auto& row : batch.rows) {
+              if (row.value.empty()) {
+                stored_rows.erase(row.key);
+              } else {
+                stored_rows[row.key] = row.value;
+              }
+            }
+            dispatcher_->Stored(batch.number);
+          });
   }
 
   auto Deliver(const WorkerCall& call) -> void {
@@ -368,10 +368,9 @@
     CallResult result;
     if (const auto* start = std::get_if<StartCall>(&call.what)) {
       const auto& spec = submitted.at(start->task.job);
-      const auto& step =
-          spec.steps[static_cast<std::size_t>(start->task.step)];
-      const auto need = needs.contains(spec.id) ? needs.at(spec.id)
-                                                : step.estimate_ms;
+      const auto& step = spec.steps[static_cast<std::size_t>(start->task.step)];
+      const auto need =
+          needs.contains(spec.id) ? needs.at(spec.id) : step.estimate_ms;
       const auto running = IsRunningAnywhere(start->task);
       if (worker.Start(*start, token, need, step.demand, now, result)) {
         CheckStart(*start, step, running);
@@ -388,10 +387,9 @@
   auto Require(bool holds, const std::string& what, const TaskId& task)
       -> void {
     if (!holds) {
-      broken.push_back(what + ": " + task.job + "." +
-                       std::to_string(task.step) + "." +
-                       std::to_string(task.index) + " at " +
-                       std::to_string(now));
+      broken.push_back(
+          what + ": " + task.job + "." + std::to_string(task.step) + "." +
+          std::to_string(task.index) + " at " + std::to_string(now));
     }
   }
 
@@ -405,8 +403,8 @@
       const auto& earlier =
           submitted.at(start.task.job).steps[static_cast<std::size_t>(before)];
       for (std::int64_t index = 0; index < earlier.tasks; ++index) {
-        Require(done.contains({start.task.job, start.task.occurrence, before,
-                               index}),
+        Require(done.contains(
+                    {start.task.job, start.task.occurrence, before, index}),
                 "out of order", start.task);
       }
     }
--- a/Tests/LibDispatch/dispatcher_random_test.cc
+++ b/Tests/LibDispatch/dispatcher_random_test.cc
@@ -30,15 +30,15 @@
   int jobs = 0;
   while (world.now < kDayMs) {
     if (jobs < 15) {
-      auto step = DispatchWorld::Step(pick(1, 6), 1 << pick(0, 3),
-                                      pick(200, 4000));
+      auto step =
+          DispatchWorld::Step(pick(1, 6), 1 << pick(0, 3), pick(200, 4000));
       step.gang = pick(0, 1) == 0;
       auto after = DispatchWorld::Step(pick(1, 3), 1, pick(200, 1000));
       after.after = {0};
-      world.Submit("job" + std::to_string(jobs++),
-                   queues[static_cast<std::size_t>(pick(0, 2))],
-                   pick(0, 1) == 0 ? std::vector{step}
-                                   : std::vector{step, after});
+      world.Submit(
+          "job" + std::to_string(jobs++),
+          queues[static_cast<std::size_t>(pick(0, 2))],
+          pick(0, 1) == 0 ? std::vector{step} : std::vector{step, after});
     }
     const auto worker = "w" + std::to_string(pick(0, 11));
     switch (pick(0, 7)) {
@@ -71,8 +71,7 @@
   const auto all_ended = [&] {
     return std::all_of(world.submitted.begin(), world.submitted.end(),
                        [&](const auto& entry) {
-                         const auto view =
-                             world.dispatcher().Find(entry.first);
+                         const auto view = world.dispatcher().Find(entry.first);
                          return !view || IsEnded(view->phase);
                        });
   };
--- a/Tests/LibDispatch/dispatcher_test.cc
+++ b/Tests/LibDispatch/dispatcher_test.cc
@@ -73,12 +73,11 @@
       [&] { return !world.workers.at("w1").runs().empty(); }, 3 * least));
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Ways,
-    DispatcherVanish,
-    testing::Values(VanishCase{"LeftTheFleet", true, true},
-                    VanishCase{"CutOff", false, true}),
-    [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(Ways,
+                         DispatcherVanish,
+                         testing::Values(VanishCase{"LeftTheFleet", true, true},
+                                         VanishCase{"CutOff", false, true}),
+                         [](const auto& info) { return info.param.name; });
 
 TEST(Dispatcher, ANewHolderGoesOnWithWhatRuns) {
   DispatchWorld world;
@@ -109,6 +108,37 @@
       << world.now - asked_at;
 }
 
+// The pattern: a burst of short urgent jobs of an account without a guarantee
+// meets a fleet full of long idle work, which has time to spare.
+TEST(Dispatcher, UrgentWorkTakesCheapRoomFromWorkThatCanWait) {
+  DispatchWorld world;
+  world.AddWorkers(4);
+  for (int number = 0; number < 4; ++number) {
+    world.Submit("fill" + std::to_string(number), "idle",
+                 {DispatchWorld::Step(8, 1, 9000)}, "other");
+  }
+  world.Run(600);
+  world.Submit("urgent", "urgent", {DispatchWorld::Gang(2, 8, 2000)}, "guest");
+  EXPECT_TRUE(
+      world.RunUntil([&] { return world.RunsOf("urgent") == 2; }, 1500));
+}
+
+// The pattern: an urgent job comes while enough work is about to end by
+// itself; stopping it would throw nearly all of it away.
+TEST(Dispatcher, NothingIsEvictedWhereRoomOpensByItself) {
+  DispatchWorld world;
+  world.AddWorkers(2);
+  world.SetGuarantees({{"crew", 16}});
+  world.Submit("fill", "idle", {DispatchWorld::Step(2, 8, 4000)}, "other");
+  ASSERT_TRUE(world.RunUntil([&] { return world.RunsOf("fill") == 2; }, 2000));
+  world.Run(3850);
+  world.Submit("owed", "urgent", {DispatchWorld::Gang(2, 8, 1000)}, "crew");
+  EXPECT_TRUE(world.RunUntil([&] { return world.RunsOf("owed") == 2; }, 1500));
+  for (const auto& [task, count] : world.starts) {
+    EXPECT_EQ(count, 1) << task.job;
+  }
+}
+
 TEST(Dispatcher, AFailingTaskIsGivenUpAfterItsAttempts) {
   DispatchWorld world;
   world.AddWorkers(4);
--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -30,11 +30,15 @@
 
   explicit FakeWorker(WorkerInfo info) : info_(std::move(info)) {}
 
-  auto info() const -> const WorkerInfo& { return info_; }
+  [[nodiscard]] auto info() const -> const WorkerInfo& { return info_; }
   auto info() -> WorkerInfo& { return info_; }
-  auto runs() const -> const std::map<TaskId, FakeRun>& { return runs_; }
-  auto ended() const -> const std::deque<EndReport>& { return ended_; }
-  auto up() const -> bool { return up_; }
+  [[nodiscard]] auto runs() const -> const std::map<TaskId, FakeRun>& {
+    return runs_;
+  }
+  [[nodiscard]] auto ended() const -> const std::deque<EndReport>& {
+    return ended_;
+  }
+  [[nodiscard]] auto up() const -> bool { return up_; }
   auto set_up(bool up) -> void { up_ = up; }
   auto set_speed(double speed) -> void { speed_ = speed; }
 
@@ -55,7 +59,9 @@
     return lost;
   }
 
-  auto Clock(core::Millis now) const -> core::Millis { return now - born_at_; }
+  [[nodiscard]] auto Clock(core::Millis now) const -> core::Millis {
+    return now - born_at_;
+  }
 
   /// @return whether the run is new on this worker.
   auto Start(const StartCall& call,
@@ -167,8 +173,8 @@
         ends.emplace_back(live, RunEnd::kLapsed);
         End(task, RunEnd::kLapsed);
       } else if (!live.hangs && may_work(live)) {
-        live.worked_ms += static_cast<core::Millis>(
-            static_cast<double>(span) * speed_);
+        live.worked_ms +=
+            static_cast<core::Millis>(static_cast<double>(span) * speed_);
         if (live.worked_ms >= live.needs_ms) {
           const auto how = fails_ ? RunEnd::kFailed : RunEnd::kDone;
           ends.emplace_back(live, how);
@@ -187,7 +193,7 @@
   auto set_fails(bool fails) -> void { fails_ = fails; }
   auto Hang(const TaskId& task) -> void { runs_.at(task).hangs = true; }
 
-  auto Free() const -> Resources {
+  [[nodiscard]] auto Free() const -> Resources {
     auto free = info_.capacity;
     for (const auto& [task, demand] : used_) {
       free -= demand;
--- a/Tests/LibEntry/election_test.cc
+++ b/Tests/LibEntry/election_test.cc
@@ -40,8 +40,8 @@
 TEST_P(ElectionDecides, WhetherToClaim) {
   Election election({}, 0);
   const auto& param = GetParam();
-  const auto plan = election.Decide(param.belief, param.peer_heard_at,
-                                    param.has_peers, kNow);
+  const auto plan =
+      election.Decide(param.belief, param.peer_heard_at, param.has_peers, kNow);
   ASSERT_EQ(plan.has_value(), param.watch_ms.has_value());
   if (plan) {
     EXPECT_EQ(plan->watch_ms, *param.watch_ms);
--- a/Tests/LibEntry/peer_link_test.cc
+++ b/Tests/LibEntry/peer_link_test.cc
@@ -33,7 +33,7 @@
 
   net::EventLoop loop_;
   net::HttpClient http_{loop_};
-  PeerLink link_{loop_, http_, Settings(), [] { return PeerLink::Self{}; }};
+  PeerLink link_{http_, Settings(), [] { return PeerLink::Self{}; }};
 };
 
 // On a calm day a holder that lost its term marked its successor's term as
