LibEntry: Refuse what the store did not take, and answer doubt early

An append that was refused for 120 ms, with no attempt in doubt, now gives its new jobs back as not run; a submission in doubt is answered as such after 45 % of its caller's patience; a request is answered once, by its timer or by the holder.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -144,6 +144,20 @@
   return JobView{job->phase, job->batch};
 }
 
+auto Dispatcher::Withdraw(const std::string& id, Moment now) -> bool {
+  auto* job = book_.Find(id);
+  if (job == nullptr || job->batch <= stored_ || IsEnded(job->phase)) {
+    return false;
+  }
+  // Ended for the runs that are gone now, none of which was started.
+  job->phase = JobPhase::kCancelled;
+  for (auto& step : job->steps) {
+    StopStep(*job, step, now);
+  }
+  book_.Withdraw(id);
+  return true;
+}
+
 auto Dispatcher::TakeBatch() -> std::optional<Batch> {
   if (!book_.has_rows()) {
     return std::nullopt;
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -74,6 +74,10 @@
   /// Cancels a job; one that has ended stays as it is.
   [[nodiscard]] auto Cancel(const std::string& job, Moment now)
       -> std::optional<JobView>;
+  /// Takes back a job that Submit() accepted and of which the store provably
+  /// has no row: it never runs.
+  /// @return whether that is so.
+  [[nodiscard]] auto Withdraw(const std::string& job, Moment now) -> bool;
   /// @return the account that submitted a job.
   [[nodiscard]] auto AccountOf(const std::string& job) const -> std::string;
   [[nodiscard]] auto PendingByQueue() const
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -256,8 +256,8 @@
   const auto is_urgent =
       unit.rank.tier == JobTier::kGuaranteed ||
       (unit.rank.tier == JobTier::kInTime && unit.rank.priority == 0);
-  const auto future = spec.gang || is_urgent ? FindFutureSeats(fleet, request)
-                                             : std::nullopt;
+  const auto future =
+      spec.gang || is_urgent ? FindFutureSeats(fleet, request) : std::nullopt;
   const auto opens_soon = future && future->at - now.steady <= kNaturalEndMs;
   if (is_urgent && !opens_soon && Evict(unit, request, fleet, now)) {
     return;
--- a/Libraries/LibDispatch/job_book.cc
+++ b/Libraries/LibDispatch/job_book.cc
@@ -203,6 +203,16 @@
   }
 }
 
+auto JobBook::IsRowOf(const std::string& key, const std::string& job) -> bool {
+  return key == JobKey(job) ||
+         key.starts_with(std::string(kTaskPrefix) + job + ".");
+}
+
+auto JobBook::Withdraw(const std::string& id) -> void {
+  jobs_.erase(id);
+  std::erase_if(rows_, [&](const Row& row) { return IsRowOf(row.key, id); });
+}
+
 auto JobBook::Prune(core::Millis ended_before) -> void {
   for (auto job = jobs_.begin(); job != jobs_.end();) {
     if (IsEnded(job->second.phase) && job->second.ended_at < ended_before) {
--- a/Libraries/LibDispatch/job_book.h
+++ b/Libraries/LibDispatch/job_book.h
@@ -40,6 +40,13 @@
   /// @param now since the Unix epoch.
   auto End(Job& job, JobPhase phase, core::Millis now) -> void;
 
+  /// Forgets a job of which no row was stored, and its rows.
+  auto Withdraw(const std::string& id) -> void;
+
+  /// @return whether a row belongs to a job.
+  [[nodiscard]] static auto IsRowOf(const std::string& key,
+                                    const std::string& job) -> bool;
+
   /// Forgets jobs that ended before a point in time.
   /// @param ended_before since the Unix epoch.
   auto Prune(core::Millis ended_before) -> void;
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -194,6 +194,10 @@
 }
 
 auto EntryService::OnLost() -> void {
+  if (holder_ == nullptr) {
+    // It was resigning when another process took the term.
+    return;
+  }
   peers_.OnTermEnded(holder_->term().epoch);
   // The holder is still on the stack.
   parts_.loop.After(0, [lost = std::exchange(holder_, nullptr)] {});
--- a/Libraries/LibEntry/front_desk.cc
+++ b/Libraries/LibEntry/front_desk.cc
@@ -16,6 +16,9 @@
 /// Kept of a caller's patience for the answer's way back.
 constexpr Millis kAnswerMs = 100;
 constexpr Millis kDefaultPatienceMs = 3000;
+/// Share of a caller's patience after which a submission in doubt is answered
+/// as such, so that the caller can ask again at another process in time.
+constexpr double kDoubtShare = 0.45;
 
 /// What is said to a caller, and when it is worth coming again.
 struct RefusalRow {
@@ -164,8 +167,11 @@
   }
   const auto patience =
       call.patience_ms > 0 ? call.patience_ms : kDefaultPatienceMs;
-  holder_.Ask(*request, since + std::max(patience - kAnswerMs, kAnswerMs),
-              false,
+  const auto wait =
+      request->verb == JobVerb::kSubmit
+          ? static_cast<Millis>(kDoubtShare * static_cast<double>(patience))
+          : patience - kAnswerMs;
+  holder_.Ask(*request, since + std::max(wait, kAnswerMs), false,
               [this, call, since, verb = request->verb, job = request->job,
                done = std::move(done)](const HolderAnswer& held) {
                 Finish(call, job, since, AnswerFor(verb, held), done);
--- a/Libraries/LibEntry/holder.cc
+++ b/Libraries/LibEntry/holder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 #include "LibCore/event.h"
@@ -21,6 +22,9 @@
 constexpr Millis kStoreSilenceMs = 4000;
 /// An append that takes longer means that new jobs cannot be stored in time.
 constexpr Millis kStalledMs = 1000;
+/// An append that the store has refused for this long, a quarter of our users'
+/// shortest objective, is not going to be taken in time for its callers.
+constexpr Millis kRefusedMs = 120;
 /// A holder whose term was confirmed this recently may say that a job does not
 /// exist: no successor has accepted jobs for longer than that.
 constexpr Millis kFreshMs = 2000;
@@ -192,6 +196,11 @@
     case platform::StoreEnd::kRefused:
     case platform::StoreEnd::kUnknown:
       parts_.metrics.Count("store_append_retries");
+      append_->in_doubt =
+          append_->in_doubt || end == platform::StoreEnd::kUnknown;
+      if (IsRefused(now)) {
+        WithdrawRefused();
+      }
       if (++append_->failures == 1) {
         core::LogEvent(core::Event::kLogUnreachable,
                        {{"epoch", term_.epoch},
@@ -264,12 +273,13 @@
 
 auto Holder::AnswerAt(std::uint64_t batch,
                       HolderAnswer answer,
-                      const AnswerDone& done) -> void {
+                      const AnswerDone& done,
+                      const std::string& submitted) -> void {
   if (batch <= dispatcher_.stored()) {
     done(answer);
     return;
   }
-  waiters_.emplace(batch, Waiter{done, answer});
+  waiters_.emplace(batch, Waiter{done, answer, submitted});
 }
 
 auto Holder::Handle(const HolderRequest& request, const AnswerDone& done)
@@ -297,14 +307,49 @@
 auto Holder::Submit(const HolderRequest& request, const AnswerDone& done)
     -> void {
   const auto known = dispatcher_.Find(request.job);
-  const auto stalled =
-      append_ && core::SuspendAwareNow() - append_->first_sent_at > kStalledMs;
-  if (!known && stalled) {
+  const auto now = core::SuspendAwareNow();
+  const auto stalled = append_ && now - append_->first_sent_at > kStalledMs;
+  if (!known && (stalled || IsRefused(now))) {
     done({ErrorKind::kLogDown, {}, false});
     return;
   }
   const auto view = dispatcher_.Submit(request.spec, Now());
-  AnswerAt(view.batch, {ErrorKind::kNone, view.phase, false}, done);
+  AnswerAt(view.batch, {ErrorKind::kNone, view.phase, false}, done,
+           request.job);
+}
+
+auto Holder::IsRefused(Millis now) const -> bool {
+  return append_ && append_->failures > 0 && !append_->in_doubt &&
+         now - append_->first_sent_at >= kRefusedMs;
+}
+
+auto Holder::WithdrawRefused() -> void {
+  std::set<std::string> withdrawn;
+  for (const auto& [batch, waiter] : waiters_) {
+    if (!waiter.submitted.empty() &&
+        dispatcher_.Withdraw(waiter.submitted, Now())) {
+      withdrawn.insert(waiter.submitted);
+    }
+  }
+  std::vector<AnswerDone> refused;
+  std::erase_if(waiters_, [&](auto& entry) {
+    if (!withdrawn.contains(entry.second.submitted)) {
+      return false;
+    }
+    refused.push_back(std::move(entry.second.done));
+    return true;
+  });
+  for (const auto& job : withdrawn) {
+    std::erase_if(append_->rows, [&](const dispatch::Row& row) {
+      return dispatch::JobBook::IsRowOf(row.key, job);
+    });
+  }
+  if (append_->rows.empty()) {
+    append_->rows.push_back(EncodeTerm(term_));
+  }
+  for (const auto& done : refused) {
+    done({ErrorKind::kLogDown, {}, false});
+  }
 }
 
 auto Holder::MayNotBeKnownYet() const -> bool {
--- a/Libraries/LibEntry/holder.h
+++ b/Libraries/LibEntry/holder.h
@@ -80,10 +80,14 @@
     std::uint64_t batch = 0;
     core::Millis first_sent_at = 0;
     int failures = 0;
+    /// An attempt got no answer: the rows may stand in the store.
+    bool in_doubt = false;
   };
   struct Waiter {
     AnswerDone done;
     HolderAnswer answer;
+    /// Set for a submission.
+    std::string submitted;
   };
 
   static auto Now() -> dispatch::Moment;
@@ -96,7 +100,11 @@
   auto OnFleet(const std::vector<dispatch::Row>& rows, bool whole) -> void;
   auto AnswerAt(std::uint64_t batch,
                 HolderAnswer answer,
-                const AnswerDone& done) -> void;
+                const AnswerDone& done,
+                const std::string& submitted = "") -> void;
+  /// Refuses the submissions that the store provably did not take.
+  auto WithdrawRefused() -> void;
+  [[nodiscard]] auto IsRefused(core::Millis now) const -> bool;
   auto Submit(const HolderRequest& request, const AnswerDone& done) -> void;
   auto Read(const HolderRequest& request, const AnswerDone& done) -> void;
   auto Cancel(const HolderRequest& request, const AnswerDone& done) -> void;
--- a/Libraries/LibEntry/holder_link.cc
+++ b/Libraries/LibEntry/holder_link.cc
@@ -26,32 +26,42 @@
                      Millis deadline,
                      bool relayed,
                      Done done) -> void {
-  Try(std::make_shared<Pending>(Pending{request, core::SuspendAwareNow(),
-                                        deadline, relayed, false,
-                                        std::move(done)}));
+  const auto now = core::SuspendAwareNow();
+  const auto pending = std::make_shared<Pending>(
+      Pending{request, now, deadline, relayed, false, false, std::move(done)});
+  loop_.After(std::max<Millis>(deadline - now, 0),
+              [pending] { GiveUp(*pending); });
+  Try(pending);
+}
+
+auto HolderLink::Finish(Pending& pending, const HolderAnswer& answer) -> void {
+  if (!std::exchange(pending.is_answered, true)) {
+    std::exchange(pending.done, nullptr)(answer);
+  }
 }
 
-auto HolderLink::GiveUp(const Pending& pending) -> void {
-  pending.done(
-      {pending.in_doubt ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoEndpoint,
-       {},
-       true});
+auto HolderLink::GiveUp(Pending& pending) -> void {
+  Finish(pending, {pending.in_doubt ? ErrorKind::kOutcomeUnknown
+                                    : ErrorKind::kNoEndpoint,
+                   {},
+                   true});
 }
 
 auto HolderLink::Try(const std::shared_ptr<Pending>& pending) -> void {
-  const auto now = core::SuspendAwareNow();
-  if (now >= pending->deadline) {
-    GiveUp(*pending);
+  if (pending->is_answered) {
     return;
   }
+  const auto now = core::SuspendAwareNow();
   if (const auto holder = local_()) {
-    holder->Handle(pending->request, [this, pending](HolderAnswer answer) {
+    const auto was_in_doubt = std::exchange(pending->in_doubt, true);
+    holder->Handle(pending->request, [this, pending, was_in_doubt](
+                                         const HolderAnswer& answer) {
       if (!answer.not_holder) {
-        pending->done(answer);
+        Finish(*pending, answer);
         return;
       }
       pending->in_doubt =
-          pending->in_doubt || answer.error == ErrorKind::kOutcomeUnknown;
+          was_in_doubt || answer.error == ErrorKind::kOutcomeUnknown;
       TryAgain(pending);
     });
     return;
@@ -78,6 +88,7 @@
 auto HolderLink::SendTo(const core::Address& address,
                         const std::shared_ptr<Pending>& pending) -> void {
   const auto left = pending->deadline - core::SuspendAwareNow();
+  const auto was_in_doubt = std::exchange(pending->in_doubt, true);
   const net::HttpRequest request{
       "POST",
       kJobPath,
@@ -87,8 +98,9 @@
         address == peers_.belief().address ? "holder" : "relay"}},
       core::Json(pending->request).dump()};
   http_.Send(address, request, std::clamp<Millis>(left, 1, kAttemptMs),
-             [this, pending](const net::HttpResult& result) {
+             [this, pending, was_in_doubt](const net::HttpResult& result) {
                if (result.exchange == net::Exchange::kNeverSent) {
+                 pending->in_doubt = was_in_doubt;
                  TryAgain(pending);
                  return;
                }
@@ -104,11 +116,11 @@
                  }
                }
                if (!answer.not_holder) {
-                 pending->done(answer);
+                 Finish(*pending, answer);
                  return;
                }
-               pending->in_doubt = pending->in_doubt ||
-                                   answer.error == ErrorKind::kOutcomeUnknown;
+               pending->in_doubt =
+                   was_in_doubt || answer.error == ErrorKind::kOutcomeUnknown;
                TryAgain(pending);
              });
 }
--- a/Libraries/LibEntry/holder_link.h
+++ b/Libraries/LibEntry/holder_link.h
@@ -44,6 +44,7 @@
     bool relayed = false;
     /// The request may have reached a holder.
     bool in_doubt = false;
+    bool is_answered = false;
     Done done;
   };
 
@@ -51,7 +52,9 @@
   auto TryAgain(const std::shared_ptr<Pending>& pending) -> void;
   auto SendTo(const core::Address& address,
               const std::shared_ptr<Pending>& pending) -> void;
-  static auto GiveUp(const Pending& pending) -> void;
+  static auto GiveUp(Pending& pending) -> void;
+  /// Answers a request, once.
+  static auto Finish(Pending& pending, const HolderAnswer& answer) -> void;
 
   net::EventLoop& loop_;
   net::HttpClient& http_;
