--- a/Libraries/LibEntry/front_desk.cc
+++ b/Libraries/LibEntry/front_desk.cc
@@ -112,6 +112,11 @@
     return reason.Fail(ErrorKind::kBadInput, "method",
                        "The method is none of POST, GET and DELETE.");
   }
+  if (!is_job_id_(admitted.job)) {
+    return reason.Fail(
+        *verb == JobVerb::kSubmit ? ErrorKind::kBadInput : ErrorKind::kGone,
+        "job", "The path ends with no job id.");
+  }
   HolderRequest request;
   request.verb = *verb;
   request.job = admitted.job;
--- a/Libraries/LibEntry/front_desk.h
+++ b/Libraries/LibEntry/front_desk.h
@@ -20,6 +20,8 @@
   using ReadJob =
       std::function<std::optional<dispatch::JobSpec>(const std::string& body,
                                                      core::Reason& reason)>;
+  /// @return whether a text can be the id of a job.
+  using IsJobId = std::function<bool(const std::string& text)>;
   /// @return unstarted jobs of a queue, or nothing when nobody can tell.
   using PendingOf =
       std::function<std::optional<std::int64_t>(const std::string& queue)>;
@@ -28,11 +30,13 @@
             HolderLink& holder,
             node::Metrics& metrics,
             ReadJob read_job,
+            IsJobId is_job_id,
             PendingOf pending_of)
       : routes_(routes),
         holder_(holder),
         metrics_(metrics),
         read_job_(std::move(read_job)),
+        is_job_id_(std::move(is_job_id)),
         pending_of_(std::move(pending_of)) {}
 
   /// Answers one call.
@@ -64,6 +68,7 @@
   HolderLink& holder_;
   node::Metrics& metrics_;
   ReadJob read_job_;
+  IsJobId is_job_id_;
   PendingOf pending_of_;
 };
 
--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -1,7 +1,11 @@
 #include "LibNet/http_server.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <evhtp/evhtp.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
 
 #include <algorithm>
 #include <array>
@@ -12,24 +16,25 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxBodyBytes = 8ULL * 1024 * 1024;
+constexpr ev_ssize_t kMaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
 constexpr int kListenBacklog = 1024;
+constexpr int kHttpInternalError = 500;
 
 struct MethodName {
-  htp_method method;
+  evhttp_cmd_type method;
   std::string_view name;
 };
 
 constexpr std::array kMethodNames = {
-    MethodName{htp_method_GET, "GET"},
-    MethodName{htp_method_HEAD, "HEAD"},
-    MethodName{htp_method_POST, "POST"},
-    MethodName{htp_method_PUT, "PUT"},
-    MethodName{htp_method_DELETE, "DELETE"},
-    MethodName{htp_method_PATCH, "PATCH"},
+    MethodName{EVHTTP_REQ_GET, "GET"},
+    MethodName{EVHTTP_REQ_HEAD, "HEAD"},
+    MethodName{EVHTTP_REQ_POST, "POST"},
+    MethodName{EVHTTP_REQ_PUT, "PUT"},
+    MethodName{EVHTTP_REQ_DELETE, "DELETE"},
+    MethodName{EVHTTP_REQ_PATCH, "PATCH"},
 };
 
-auto NameOf(htp_method method) -> std::string {
+auto NameOf(evhttp_cmd_type method) -> std::string {
   for (const auto& row : kMethodNames) {
     if (row.method == method) {
       return std::string(row.name);
@@ -38,6 +43,14 @@
   return "OTHER";
 }
 
+auto AllMethods() -> ev_uint16_t {
+  unsigned methods = 0;
+  for (const auto& row : kMethodNames) {
+    methods |= static_cast<unsigned>(row.method);
+  }
+  return static_cast<ev_uint16_t>(methods);
+}
+
 auto ToLower(std::string text) -> std::string {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
     return static_cast<char>(std::tolower(c));
@@ -45,82 +58,70 @@
   return text;
 }
 
-auto CopyHeader(evhtp_kv_t* pair, void* argument) -> int {
-  auto& headers = *static_cast<HttpHeaders*>(argument);
-  headers[ToLower({pair->key, pair->klen})] = {pair->val, pair->vlen};
-  return 0;
-}
-
-auto CopyArgument(evhtp_kv_t* pair, void* argument) -> int {
-  auto& query = *static_cast<std::map<std::string, std::string>*>(argument);
-  query[DecodeUri({pair->key, pair->klen})] =
-      pair->val == nullptr ? "" : DecodeUri({pair->val, pair->vlen});
-  return 0;
-}
-
 auto BodyOf(evbuffer* buffer) -> std::string {
   std::string body(evbuffer_get_length(buffer), '\0');
   evbuffer_copyout(buffer, body.data(), body.size());
   return body;
 }
 
-auto ToRequest(evhtp_request_t* source) -> HttpRequest {
-  HttpRequest request;
-  request.method = NameOf(source->method);
-  if (source->uri != nullptr && source->uri->path != nullptr) {
-    request.path = DecodeUri(source->uri->path->full);
+auto QueryOf(const evhttp_uri* uri) -> std::map<std::string, std::string> {
+  std::map<std::string, std::string> query;
+  const auto* text = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+  std::string_view rest = text == nullptr ? "" : text;
+  while (!rest.empty()) {
+    const auto pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const auto name = pair.substr(0, pair.find('='));
+    const auto value = pair.substr(std::min(pair.size(), name.size() + 1));
+    query[DecodeUri(name)] = DecodeUri(value);
   }
-  if (source->uri != nullptr && source->uri->query != nullptr) {
-    evhtp_kvs_for_each(source->uri->query, CopyArgument, &request.query);
+  return query;
+}
+
+auto ToRequest(evhttp_request* source) -> HttpRequest {
+  HttpRequest request;
+  request.method = NameOf(evhttp_request_get_command(source));
+  const auto* uri = evhttp_request_get_evhttp_uri(source);
+  const auto* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  request.path = path == nullptr ? "" : DecodeUri(path);
+  request.query = QueryOf(uri);
+  auto* headers = evhttp_request_get_input_headers(source);
+  for (auto* pair = headers->tqh_first; pair != nullptr;
+       pair = pair->next.tqe_next) {
+    request.headers[ToLower(pair->key)] = pair->value;
   }
-  evhtp_kvs_for_each(source->headers_in, CopyHeader, &request.headers);
-  request.body = BodyOf(source->buffer_in);
+  request.body = BodyOf(evhttp_request_get_input_buffer(source));
   return request;
 }
 
-auto OnRequest(evhtp_request_t* request, void* argument) -> void {
+auto OnRequest(evhttp_request* request, void* argument) -> void {
   static_cast<HttpServer*>(argument)->Dispatch(request);
 }
 
 }  // namespace
 
 struct HttpReply::State {
-  /// Null once answered or once libevhtp has freed the request.
-  evhtp_request_t* request = nullptr;
-  std::shared_ptr<int> pending;
+  /// Null once answered. A caller that leaves does not end the request:
+  /// evhttp keeps it until it is answered.
+  evhttp_request* request = nullptr;
+  std::shared_ptr<HttpServer::Shared> server;
   std::function<void(const HttpAnswer&)> listener;
-  std::shared_ptr<bool> closing;
-
-  State(evhtp_request_t* open_request,
-        std::shared_ptr<int> open_count,
-        std::shared_ptr<bool> server_closing)
-      : request(open_request),
-        pending(std::move(open_count)),
-        closing(std::move(server_closing)) {
-    ++*pending;
+
+  State(evhttp_request* open_request,
+        std::shared_ptr<HttpServer::Shared> open_server)
+      : request(open_request), server(std::move(open_server)) {
+    ++server->pending;
+  }
+  ~State() {
+    --server->pending;
+    if (request != nullptr && server->alive) {
+      evhttp_send_error(request, kHttpInternalError, nullptr);
+    }
   }
-  ~State() { --*pending; }
   State(const State&) = delete;
   auto operator=(const State&) -> State& = delete;
 };
 
-namespace {
-
-/// libevhtp keeps hooks of every signature under one type.
-auto ToHook(auto(*hook)(evhtp_request_t*, void*)->evhtp_res) -> evhtp_hook {
-  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
-}
-
-/// Runs when libevhtp frees a request, answered or not.
-auto OnRequestFreed(evhtp_request_t* /*request*/, void* argument) -> evhtp_res {
-  const std::unique_ptr<std::shared_ptr<HttpReply::State>> state(
-      static_cast<std::shared_ptr<HttpReply::State>*>(argument));
-  (*state)->request = nullptr;
-  return EVHTP_RES_OK;
-}
-
-}  // namespace
-
 auto HttpReply::OnAnswered(
     std::function<void(const HttpAnswer&)> listener) const -> void {
   state_->listener = std::move(listener);
@@ -130,23 +131,21 @@
   if (const auto listener = std::exchange(state_->listener, nullptr)) {
     listener(answer);
   }
-  if (state_->request == nullptr) {
+  auto* request = std::exchange(state_->request, nullptr);
+  if (request == nullptr || !state_->server->alive) {
     return;
   }
-  auto* request = std::exchange(state_->request, nullptr);
+  auto* headers = evhttp_request_get_output_headers(request);
   for (const auto& [name, value] : answer.headers) {
-    evhtp_headers_add_header(
-        request->headers_out,
-        evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    evhttp_add_header(headers, name.c_str(), value.c_str());
   }
-  if (*state_->closing) {
-    evhtp_headers_add_header(request->headers_out,
-                             evhtp_header_new("Connection", "close", 0, 0));
-    evhtp_request_set_keepalive(request, 0);
+  if (state_->server->closing) {
+    evhttp_add_header(headers, "Connection", "close");
   }
-  evbuffer_add(request->buffer_out, answer.body.data(), answer.body.size());
-  evhtp_send_reply(request, static_cast<evhtp_res>(answer.status));
-  evhtp_request_resume(request);
+  auto* body = evbuffer_new();
+  evbuffer_add(body, answer.body.data(), answer.body.size());
+  evhttp_send_reply(request, answer.status, nullptr, body);
+  evbuffer_free(body);
 }
 
 auto HttpReply::SendJson(int status, const core::Json& document) const -> void {
@@ -162,42 +161,53 @@
                         const core::Address& address,
                         Handler handler,
                         core::Reason& reason) -> std::unique_ptr<HttpServer> {
-  evhtp_t* server = evhtp_new(loop.base(), nullptr);
-  evhtp_set_max_body_size(server, kMaxBodyBytes);
-  if (evhtp_bind_socket(server, address.host.c_str(), address.port,
-                        kListenBacklog) != 0) {
-    evhtp_free(server);
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(address.port);
+  auto* listener =
+      inet_pton(AF_INET, address.host.c_str(), &target.sin_addr) == 1
+          ? evconnlistener_new_bind(loop.base(), nullptr, nullptr,
+                                    LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC |
+                                        LEV_OPT_CLOSE_ON_FREE,
+                                    kListenBacklog,
+                                    reinterpret_cast<sockaddr*>(&target),
+                                    sizeof(target))
+          : nullptr;
+  if (listener == nullptr) {
     reason = {core::ErrorKind::kBadInput, "address",
               "Cannot listen on " + address.ToString() + "."};
     return nullptr;
   }
+  auto* server = evhttp_new(loop.base());
+  evhttp_set_max_body_size(server, kMaxBodyBytes);
+  evhttp_set_allowed_methods(server, AllMethods());
+  auto* socket = evhttp_bind_listener(server, listener);
   return std::unique_ptr<HttpServer>(
-      new HttpServer(server, std::move(handler)));
+      new HttpServer(server, socket, std::move(handler)));
 }
 
-HttpServer::HttpServer(evhtp* server, Handler handler)
-    : server_(server), handler_(std::move(handler)) {
-  evhtp_set_gencb(server_, OnRequest, this);
+HttpServer::HttpServer(evhttp* server,
+                       evhttp_bound_socket* socket,
+                       Handler handler)
+    : server_(server), socket_(socket), handler_(std::move(handler)) {
+  evhttp_set_gencb(server_, OnRequest, this);
 }
 
 HttpServer::~HttpServer() {
   StopListening();
-  evhtp_free(server_);
+  shared_->alive = false;
+  evhttp_free(server_);
 }
 
 auto HttpServer::StopListening() -> void {
-  *closing_ = true;
-  if (std::exchange(listening_, false)) {
-    evhtp_unbind_socket(server_);
+  shared_->closing = true;
+  if (auto* socket = std::exchange(socket_, nullptr)) {
+    evhttp_del_accept_socket(server_, socket);
   }
 }
 
-auto HttpServer::Dispatch(evhtp_request* request) -> void {
-  auto state = std::make_shared<HttpReply::State>(request, pending_, closing_);
-  auto hook = std::make_unique<std::shared_ptr<HttpReply::State>>(state);
-  evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-                         ToHook(OnRequestFreed), hook.release());
-  evhtp_request_pause(request);
+auto HttpServer::Dispatch(evhttp_request* request) -> void {
+  auto state = std::make_shared<HttpReply::State>(request, shared_);
   handler_(ToRequest(request), HttpReply(std::move(state)));
 }
 
--- a/Libraries/LibNet/http_server.h
+++ b/Libraries/LibNet/http_server.h
@@ -9,8 +9,9 @@
 #include "LibNet/event_loop.h"
 #include "LibNet/http_message.h"
 
-struct evhtp;
-struct evhtp_request;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
 
 namespace kcm::net {
 
@@ -39,7 +40,7 @@
   std::shared_ptr<State> state_;
 };
 
-/// Serves HTTP on one address by libevhtp.
+/// Serves HTTP on one address by evhttp.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest, HttpReply)>;
@@ -61,23 +62,30 @@
   auto StopListening() -> void;
 
   /// Goes on to accept connections, and closes each after its next answer.
-  auto CloseAfterAnswers() -> void { *closing_ = true; }
+  auto CloseAfterAnswers() -> void { shared_->closing = true; }
 
   /// @return requests that were read and not yet answered.
-  [[nodiscard]] auto pending() const -> int { return *pending_; }
+  [[nodiscard]] auto pending() const -> int { return shared_->pending; }
 
-  /// Hands a request of libevhtp to the handler; for the C callback only.
-  auto Dispatch(evhtp_request* request) -> void;
+  /// Hands a request of evhttp to the handler; for the C callback only.
+  auto Dispatch(evhttp_request* request) -> void;
+
+  /// What open replies share with their server.
+  struct Shared {
+    int pending = 0;
+    /// Answers end their connections.
+    bool closing = false;
+    /// Replies that outlive the server answer nobody.
+    bool alive = true;
+  };
 
  private:
-  HttpServer(evhtp* server, Handler handler);
+  HttpServer(evhttp* server, evhttp_bound_socket* socket, Handler handler);
 
-  evhtp* server_;
+  evhttp* server_;
+  evhttp_bound_socket* socket_;
   Handler handler_;
-  std::shared_ptr<int> pending_ = std::make_shared<int>(0);
-  /// Set once answers end their connections; shared with open replies.
-  std::shared_ptr<bool> closing_ = std::make_shared<bool>(false);
-  bool listening_ = true;
+  std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
 };
 
 }  // namespace kcm::net
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build pkg-config ccache clang-format clang-tidy python3
-  libevent-dev libevhtp-dev libnng-dev prometheus-cpp-dev libcxxopts-dev
+  libevent-dev libnng-dev prometheus-cpp-dev libcxxopts-dev
   liblog4cxx-dev librapidcheck-dev libgtest-dev libtomlplusplus-dev
   nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev curl
 )
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -73,7 +73,7 @@
                              core::Reason& reason) -> bool {
   desk_ = std::make_unique<FrontDesk>(
       service_->routes(), service_->holder_link(), *metrics_,
-      adapter::DecodeJobRequest,
+      adapter::DecodeJobRequest, adapter::IsJobId,
       [this](const std::string& queue) { return service_->PendingOf(queue); });
   front_ = net::HttpServer::create(
       loop_, settings.front,
