LibEntry: Give the term up to a successor that the store serves

Ruled out: a slow election (1.1 s). A holder without the store now asks its peers, and one that learns of a newer term drops its own and passes its requests on.

--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -118,12 +118,11 @@
 
 auto EntryService::Tick() -> void {
   const auto now = core::SuspendAwareNow();
-  if (holder_ != nullptr) {
-    if (peers_.belief().epoch > holder_->term().epoch) {
-      // A peer knows a newer term; the store's answer to a renewal tells.
-      holder_->ConfirmTerm();
+  if (const auto holder = holder_) {
+    if (peers_.belief().epoch > holder->term().epoch) {
+      holder->Abandon();
     }
-    holder_->Pump();
+    holder->Pump();
   }
   if (now >= next_beat_at_) {
     next_beat_at_ = now + kBeatMs;
--- a/Libraries/LibEntry/holder.cc
+++ b/Libraries/LibEntry/holder.cc
@@ -252,6 +252,12 @@
   on_lost_();
 }
 
+auto Holder::Abandon() -> void {
+  if (active_) {
+    Lose();
+  }
+}
+
 auto Holder::Resign(std::function<void()> done) -> void {
   on_resigned_ = std::move(done);
   Pump();
--- a/Libraries/LibEntry/holder.h
+++ b/Libraries/LibEntry/holder.h
@@ -58,8 +58,9 @@
   /// Does whatever is due.
   auto Pump() -> void;
 
-  /// Appends at once, which tells whether the term still holds.
-  auto ConfirmTerm() -> void { renew_now_ = true; }
+  /// Gives up at once: another process holds a newer term, which the store
+  /// has granted only by shutting this one out.
+  auto Abandon() -> void;
 
   /// Takes no more requests, and is done when all that was decided is stored.
   auto Resign(std::function<void()> done) -> void;
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -95,7 +95,11 @@
   std::erase_if(peers_, [&](const auto& entry) {
     return now - entry.second.heard_at > kForgetMs && !entry.second.in_flight;
   });
-  if (self_().is_holder) {
+  if (const auto self = self_(); self.is_holder) {
+    if (self.storeless_ms > 0) {
+      // A successor that the store serves may have taken over already.
+      BeatAll();
+    }
     return;
   }
   const auto is_known = belief_.epoch > 0 && !belief_.resigned;
--- a/Tests/LibEntry/holder_test.cc
+++ b/Tests/LibEntry/holder_test.cc
@@ -125,6 +125,22 @@
   EXPECT_TRUE(answers_[0]->not_holder);
 }
 
+// The pattern: the store turns the holder's machine away and serves its
+// successor. In an incident of glintwater-sched the former holder refused its
+// own callers for six seconds, though the successor could have served them.
+TEST_F(HolderTest, HandsItsRequestsOnWhenItKnowsOfASuccessor) {
+  store_.lose_answers = 100;
+  Ask(JobVerb::kSubmit, "a");
+  holder_->Abandon();
+  ASSERT_TRUE(answers_[0]);
+  EXPECT_TRUE(answers_[0]->not_holder);
+  EXPECT_EQ(answers_[0]->error, core::ErrorKind::kOutcomeUnknown);
+  Ask(JobVerb::kSubmit, "b");
+  ASSERT_TRUE(answers_[1]);
+  EXPECT_TRUE(answers_[1]->not_holder);
+  EXPECT_TRUE(lost_);
+}
+
 TEST_F(HolderTest, ARequestThroughTheLinkIsAnsweredOnce) {
   net::HttpClient http(loop_);
   PeerLink peers(http, settings_, [] { return PeerLink::Self{}; });
