--- /dev/null
+++ b/Tests/Platform/decode_test.cc
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <fstream>
+
+#include "platform/client_http.h"
+#include "platform/configuration.h"
+#include "platform/job_request.h"
+#include "platform/node_file.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "platform/worker_listing.h"
+
+namespace kcm::adapter {
+namespace {
+
+struct JobCase {
+  const char* name;
+  const char* body;
+  /// Member named in the refusal; empty when the body is good.
+  const char* field;
+};
+
+class JobRequest : public testing::TestWithParam<JobCase> {};
+
+TEST_P(JobRequest, IsReadOrRefusedByName) {
+  core::Reason reason;
+  const auto job = DecodeJobRequest(GetParam().body, reason);
+  EXPECT_EQ(job.has_value(), std::string(GetParam().field).empty())
+      << reason.message;
+  EXPECT_EQ(reason.field, GetParam().field);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies,
+    JobRequest,
+    testing::Values(
+        JobCase{"Good",
+                R"({"task_spec":"t","phases":[{"count":2,"cpu":500,"gpu":1}]})",
+                ""},
+        JobCase{"UnknownMemberIsPassedOver",
+                R"({"task_spec":"t","more":1,"phases":[{"count":1,"x":{}}]})",
+                ""},
+        JobCase{"NoSteps", R"({"task_spec":"t"})", "phases"},
+        JobCase{"EmptySteps", R"({"phases":[]})", "phases"},
+        JobCase{"StepIsNoObject", R"({"phases":[3]})", "phases[0]"},
+        JobCase{"NoTasks", R"({"phases":[{"cpu":1}]})", "count"},
+        JobCase{"CountIsText", R"({"phases":[{"count":"2"}]})", "count"},
+        JobCase{"NegativeCpu", R"({"phases":[{"count":1,"cpu":-1}]})", "cpu"},
+        JobCase{"GangIsNumber", R"({"phases":[{"count":1,"gang":1}]})", "gang"},
+        JobCase{"AfterItself", R"({"phases":[{"count":1,"after":[0]}]})",
+                "after"},
+        JobCase{"TooManyTasks", R"({"phases":[{"count":10001}]})", "count"},
+        JobCase{"TooManyRepeats",
+                R"({"repeats":9000000000000,"phases":[{"count":1}]})",
+                "repeats"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(JobRequest, NoJsonIsRefused) {
+  core::Reason reason;
+  EXPECT_FALSE(DecodeJobRequest("{", reason));
+}
+
+struct IdCase {
+  const char* text;
+  bool good;
+};
+
+class JobIds : public testing::TestWithParam<IdCase> {};
+
+TEST_P(JobIds, AreSixteenHexadecimalDigits) {
+  EXPECT_EQ(IsJobId(GetParam().text), GetParam().good);
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts,
+                         JobIds,
+                         testing::Values(IdCase{"5c0e7a21d94b36f8", true},
+                                         IdCase{"5C0E7A21D94B36F8", true},
+                                         IdCase{"", false},
+                                         IdCase{"5c0e7a21d94b36f", false},
+                                         IdCase{"5c0e7a21d94b36f88", false},
+                                         IdCase{"5c0e7a21d94b36g8", false},
+                                         IdCase{"5c0e7a21/94b36f8", false}));
+
+struct ListingCase {
+  const char* name;
+  const char* text;
+  bool good;
+};
+
+class Listings : public testing::TestWithParam<ListingCase> {};
+
+TEST_P(Listings, OfOtherWritersNameNoWorker) {
+  core::Reason reason;
+  EXPECT_EQ(DecodeWorkerListing("w", GetParam().text, reason).has_value(),
+            GetParam().good)
+      << reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts,
+    Listings,
+    testing::Values(
+        ListingCase{
+            "Good",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2,"gpu":3},"labels":["a","r1"],"born":5})",
+            true},
+        ListingCase{
+            "UnknownState",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"odd","capacity":{"cpu":1,"mem_mb":2},"labels":[]})",
+            false},
+        ListingCase{
+            "NoCapacity",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","labels":[]})",
+            false},
+        ListingCase{
+            "ServiceIsNumber",
+            R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2},"labels":[]})",
+            false},
+        ListingCase{
+            "BadAddress",
+            R"({"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2},"labels":[]})",
+            false},
+        ListingCase{"Bytes", "\xff\xfe", false}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(Listing, IsReadWhole) {
+  core::Reason reason;
+  const auto info = DecodeWorkerListing(
+      "w",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","capacity":{"cpu":1,"mem_mb":2,"gpu":3},"labels":["a","r1"],"born":5,"remaining_ms":70})",
+      reason);
+  ASSERT_TRUE(info);
+  EXPECT_TRUE(info->draining);
+  EXPECT_EQ(info->rack, "r1");
+  EXPECT_EQ(info->life, 5);
+  EXPECT_EQ(info->leaves_in_ms, 70);
+  EXPECT_EQ(info->capacity, (dispatch::Resources{1, 2, 3}));
+}
+
+TEST(Configuration, IsReadAndABadOneRefused) {
+  core::Reason reason;
+  const auto table = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/p/","service":"s","priority":1,"max_attempts":4,"slack_factor":3.0,"target_latency_ms":1200}],"tenants":[{"name":"t","api_keys":["k"],"guaranteed":{"gpu":72}}]})",
+      reason);
+  ASSERT_TRUE(table) << reason.message;
+  EXPECT_EQ(table->version, 7);
+  EXPECT_EQ(table->Find("h", "/p/x")->queue, "q");
+  EXPECT_EQ(table->Find("h", "/q/x"), nullptr);
+  EXPECT_EQ(table->accounts.at("k"), "t");
+  EXPECT_EQ(table->guarantees.at("t"), 72);
+  EXPECT_FALSE(DecodeConfiguration(R"({"version":7})", reason));
+}
+
+TEST(Records, AreReadAsTheyWereWritten) {
+  const std::vector<dispatch::Row> rows = {{"a", "1"}, {"b", ""}};
+  const std::string offsets("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x07", 16);
+  const auto read = DecodeRecords(offsets + EncodeRecords(rows));
+  ASSERT_TRUE(read.answered);
+  EXPECT_EQ(read.end_offset, 9);
+  EXPECT_EQ(read.first_offset, 7);
+  ASSERT_EQ(read.rows.size(), 2U);
+  EXPECT_EQ(read.rows[0].value, "1");
+  EXPECT_EQ(read.rows[1].value, "");
+}
+
+TEST(Retries, AreRoundedUpToWholeSeconds) {
+  entry::ClientAnswer answer;
+  answer.reason.kind = core::ErrorKind::kLogDown;
+  answer.retry_after_ms = 1200;
+  const auto http = EncodeClientAnswer(answer);
+  EXPECT_EQ(http.status, 503);
+  EXPECT_EQ(http.header("retry-after"), "2");
+}
+
+TEST(NodeFile, NamesKeyAndLineOfABadValue) {
+  const auto path = testing::TempDir() + "kcm-node.toml";
+  std::ofstream(path) << "node_name = \"n\"\nzone = 7\n";
+  core::Reason reason;
+  EXPECT_FALSE(ReadNodeFile(path, reason));
+  EXPECT_EQ(reason.field, "zone");
+  EXPECT_NE(reason.message.find("line 2"), std::string::npos);
+}
+
+// Whatever bytes come in, the decoders answer and do not crash.
+RC_GTEST_PROP(Decoders, SurviveAnyBytes, (const std::string& bytes)) {
+  core::Reason reason;
+  std::ignore = DecodeJobRequest(bytes, reason);
+  std::ignore = DecodeWorkerListing("w", bytes, reason);
+  std::ignore = DecodeConfiguration(bytes, reason);
+  std::ignore = DecodeRecords(bytes);
+  std::ignore = DecodeNewest(bytes);
+  std::ignore = DecodeLook(core::Json::parse(bytes, nullptr, false));
+  std::ignore = ParseTaskName(bytes);
+}
+
+}  // namespace
+}  // namespace kcm::adapter
