--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -9,9 +9,9 @@
 
 /// Pause between two plans while nothing changes.
 constexpr core::Millis kPlanPeriodMs = 250;
-/// A run whose percentage stands still this long is hung: the slowest runs
-/// that we know of gain a percent in a third of that.
-constexpr core::Millis kHungMs = 3000;
+/// A run whose percentage stands still for two looks is hung: at a seventh of
+/// the usual speed the longest runs of our users gain a percent in 800 ms.
+constexpr core::Millis kHungMs = 2000;
 /// Room that is being made for guaranteed work is given this long.
 constexpr core::Millis kEvictionMs = 800;
 /// Room that opens by itself within this span, about as long as a stop takes,
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -9,8 +9,8 @@
 
 /// Span after which a call without an answer is repeated.
 constexpr core::Millis kRepeatMs = 100;
-/// Longest wait that a worker grants to a look.
-constexpr core::Millis kLongestWaitMs = 2000;
+/// Wait of a look: a run that stands still shows after two of them.
+constexpr core::Millis kLongestWaitMs = 1000;
 /// Pause between looks while ends that were told are not stored yet.
 constexpr core::Millis kUnstoredPauseMs = 500;
 /// Looks without an answer after which no lease is renewed any more, so that
