--- a/Libraries/LibDispatch/dispatch_settings.h
+++ b/Libraries/LibDispatch/dispatch_settings.h
@@ -8,8 +8,6 @@
 struct DispatchSettings {
   /// Longest lease that a worker grants.
   core::Millis max_lease_ms = 6000;
-  /// A stop ends a run within this span.
-  core::Millis stop_grace_ms = 200;
   /// A gang breaks when a member is missing for this span.
   core::Millis gang_timeout_ms = 3000;
   /// Guaranteed work starts within this span of its acceptance.
@@ -18,8 +16,6 @@
   core::Millis status_ms = 120000;
   /// A run saves its progress at least this often, where its step does.
   core::Millis checkpoint_ms = 2000;
-  /// Times as long that a task takes away from its rack.
-  double remote_factor = 3;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibEntry/table_follower.h
+++ b/Libraries/LibEntry/table_follower.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
