--- a/Meta/code-share.sh
+++ b/Meta/code-share.sh
@@ -5,7 +5,7 @@
 count() {
   git ls-files "$@" | grep -E '\.(cc|h)$' | xargs -r cat | grep -cvE '^\s*(//|$)' || true
 }
-together=$(count Libraries/LibMember Libraries/LibRequest Libraries/LibSchedule Libraries/LibGang \
+together=$(count Libraries/LibDispatch Libraries/LibEntry Libraries/LibMember Libraries/LibRequest Libraries/LibSchedule Libraries/LibGang \
   Libraries/LibState 'Libraries/LibNode/log_*' 'Libraries/LibNode/heartbeats*' \
   'Libraries/LibNode/relay_choice*' Services/Relay Services/Scheduler 'Services/Gateway/request*')
 tests=$(count Tests)
