LibNet: Ignore a signal that arrives after the loop is freed

Cause: libevent puts back the handler that it found when the loop is freed. Ruled out: a handler set too late, since the scheduler held the term by then. Before: EventLoopSignals failed for SIGTERM, SIGINT and SIGHUP; after: all three pass.

--- a/Libraries/LibNet/event_loop.cc
+++ b/Libraries/LibNet/event_loop.cc
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <event2/util.h>
 
+#include <csignal>
 #include <utility>
 
 #include "LibCore/check.h"
@@ -78,6 +79,10 @@
 }
 
 auto EventLoop::OnSignal(int signal_number, Handler handler) -> void {
+  // libevent puts back what it found when the loop is freed. Ignoring the
+  // signal keeps one that arrives between then and the end of the process from
+  // ending it.
+  std::signal(signal_number, SIG_IGN);
   auto& watch =
       AddWatch(signal_number, EV_SIGNAL | EV_PERSIST, std::move(handler));
   event_add(watch.source, nullptr);
