--- a/Libraries/LibCore/clock.h
+++ b/Libraries/LibCore/clock.h
@@ -7,6 +7,8 @@
 /// Milliseconds, either a span or a point on the clock that the name states.
 using Millis = std::int64_t;
 
+inline constexpr Millis kMillisPerSecond = 1000;
+
 /// Reads the monotonic clock.
 /// @return milliseconds since an arbitrary start; never goes back.
 auto MonotonicNow() -> Millis;
--- a/Libraries/LibEntry/claim.cc
+++ b/Libraries/LibEntry/claim.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr core::Millis kReadTimeoutMs = 1000;
+constexpr core::Millis kClaimReadTimeoutMs = 1000;
 constexpr core::Millis kAppendTimeoutMs = 500;
-constexpr core::Millis kRetryMs = 50;
+constexpr core::Millis kClaimRetryMs = 50;
 /// Appends in vain after which the claim is given up: the store turns this
 /// process away or is down.
 constexpr int kMaxAppends = 5;
@@ -45,7 +45,7 @@
 
 auto Claim::Read(const std::string& after) -> void {
   store_.ReadNewest(
-      platform::Table::kState, after, kReadTimeoutMs,
+      platform::Table::kState, after, kClaimReadTimeoutMs,
       [self = shared_from_this(), after](platform::TableRead read) {
         self->OnPage(after, std::move(read));
       });
@@ -109,7 +109,7 @@
     return;
   }
   // The same append again: the store takes it once.
-  loop_.After(kRetryMs, [self = shared_from_this()] { self->Append(); });
+  loop_.After(kClaimRetryMs, [self = shared_from_this()] { self->Append(); });
 }
 
 auto Claim::Lose(const std::string& reason) -> void {
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/event.h"
 #include "LibCore/stable_hash.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::entry {
 
@@ -31,8 +32,6 @@
 constexpr Millis kFarRoundTripMs = 20;
 /// Patience for a request that a peer passes on.
 constexpr Millis kRelayedPatienceMs = 700;
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
 
 auto SpreadOf(const std::string& name) -> Millis {
   return static_cast<Millis>(core::StableHash(name) % kClaimSpreadMs);
@@ -259,7 +258,7 @@
       [this, peer](const net::HttpResult& result) {
         fetching_routes_ = false;
         if (result.exchange != net::Exchange::kAnswered ||
-            result.answer.status != kHttpOk) {
+            result.answer.status != net::kHttpOk) {
           return;
         }
         const auto document =
@@ -278,13 +277,13 @@
   try {
     if (request.path == kBeatPath) {
       const auto beat = core::Json::parse(request.body).get<Beat>();
-      reply.SendJson(kHttpOk, peers_.OnBeat(beat));
+      reply.SendJson(net::kHttpOk, peers_.OnBeat(beat));
     } else if (request.path == kRoutesPath) {
-      reply.SendJson(kHttpOk, routes_);
+      reply.SendJson(net::kHttpOk, routes_);
     } else if (request.path == kJobPath) {
       OnPeerJob(request, reply);
     } else {
-      reply.Send({kHttpNotFound, {}, ""});
+      reply.Send({net::kHttpNotFound, {}, ""});
     }
   } catch (const core::Json::exception& error) {
     core::LogEvent(core::Event::kBadMessage,
@@ -299,7 +298,7 @@
   const auto for_holder = request.header(kRelayedHeader) == "holder";
   holder_link_.Ask(asked, core::SuspendAwareNow() + kRelayedPatienceMs,
                    for_holder, [reply](const HolderAnswer& answer) {
-                     reply.SendJson(kHttpOk, core::Json(answer));
+                     reply.SendJson(net::kHttpOk, core::Json(answer));
                    });
 }
 
--- a/Libraries/LibEntry/holder.cc
+++ b/Libraries/LibEntry/holder.cc
@@ -31,7 +31,7 @@
 /// Pause between reads of the workers' listings. Their heartbeats come every
 /// second or so, and a worker that drains takes work for seconds yet.
 constexpr Millis kFleetPauseMs = 400;
-constexpr Millis kRetryMs = 40;
+constexpr Millis kAppendRetryMs = 40;
 /// A start or stop takes two crossings between regions; an answer that is lost
 /// costs this much before the call is repeated.
 constexpr Millis kCallTimeoutMs = 600;
@@ -207,7 +207,7 @@
                         {"batch", append_->batch},
                         {"unknown", end == platform::StoreEnd::kUnknown}});
       }
-      parts_.loop.After(kRetryMs, [weak = weak_from_this()] {
+      parts_.loop.After(kAppendRetryMs, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self != nullptr && self->active_ && self->append_) {
           self->SendAppend();
--- a/Libraries/LibEntry/holder_link.cc
+++ b/Libraries/LibEntry/holder_link.cc
@@ -1,4 +1,5 @@
 #include "LibEntry/holder_link.h"
+#include "LibNet/http_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,14 +12,13 @@
 using core::Millis;
 
 /// Pause before a request is tried again.
-constexpr Millis kRetryMs = 40;
+constexpr Millis kRelayRetryMs = 40;
 /// A request that finds no holder waits this long for one, an eighth of the
 /// shortest objective of our users' requests, before it is refused.
 constexpr Millis kVacancyWaitMs = 60;
 /// Storing takes some ten milliseconds; a connection that stays silent for
 /// this long is given up.
 constexpr Millis kAttemptMs = 700;
-constexpr int kHttpOk = 200;
 
 }  // namespace
 
@@ -82,7 +82,7 @@
 }
 
 auto HolderLink::TryAgain(const std::shared_ptr<Pending>& pending) -> void {
-  loop_.After(kRetryMs, [this, pending] { Try(pending); });
+  loop_.After(kRelayRetryMs, [this, pending] { Try(pending); });
 }
 
 auto HolderLink::SendTo(const core::Address& address,
@@ -108,7 +108,7 @@
                answer.not_holder = true;
                answer.error = ErrorKind::kOutcomeUnknown;
                if (result.exchange == net::Exchange::kAnswered &&
-                   result.answer.status == kHttpOk) {
+                   result.answer.status == net::kHttpOk) {
                  const auto document =
                      core::Json::parse(result.answer.body, nullptr, false);
                  if (document.is_object() && document.contains("phase")) {
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibCore/event.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::entry {
 
@@ -28,7 +29,6 @@
 constexpr Millis kForgetMs = 120000;
 /// The length of a queue may be shown this long after it was told.
 constexpr Millis kPendingAgeMs = 1500;
-constexpr int kHttpOk = 200;
 
 }  // namespace
 
@@ -141,7 +141,7 @@
           found->second.in_flight = false;
         }
         if (result.exchange != net::Exchange::kAnswered ||
-            result.answer.status != kHttpOk) {
+            result.answer.status != net::kHttpOk) {
           return;
         }
         const auto document =
--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -11,7 +11,7 @@
 /// An answer takes a few milliseconds and two crossings between regions; a
 /// slow store takes some hundred.
 constexpr core::Millis kReadTimeoutMs = 700;
-constexpr core::Millis kRetryMs = 150;
+constexpr core::Millis kFollowRetryMs = 150;
 
 }  // namespace
 
@@ -98,7 +98,7 @@
 
 auto TableFollower::Retry(const std::shared_ptr<State>& state, bool whole)
     -> void {
-  state->loop.After(kRetryMs, [weak = Weak(state), whole] {
+  state->loop.After(kFollowRetryMs, [weak = Weak(state), whole] {
     const auto alive = weak.lock();
     if (alive != nullptr && whole) {
       ReadWhole(alive, "");
--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -1,4 +1,5 @@
 #include "LibNet/http_server.h"
+#include "LibNet/http_status.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -18,7 +19,6 @@
 
 constexpr ev_ssize_t kMaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
 constexpr int kListenBacklog = 1024;
-constexpr int kHttpInternalError = 500;
 
 struct MethodName {
   evhttp_cmd_type method;
--- /dev/null
+++ b/Libraries/LibNet/http_status.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace kcm::net {
+
+// The HTTP statuses that the programs send or tell apart (RFC 9110, 429 from
+// RFC 6585).
+inline constexpr int kHttpOk = 200;
+inline constexpr int kHttpAccepted = 202;
+inline constexpr int kHttpBadRequest = 400;
+inline constexpr int kHttpNotFound = 404;
+inline constexpr int kHttpConflict = 409;
+inline constexpr int kHttpGone = 410;
+inline constexpr int kHttpPreconditionFailed = 412;
+inline constexpr int kHttpMisdirected = 421;
+inline constexpr int kHttpTooMany = 429;
+inline constexpr int kHttpInternalError = 500;
+inline constexpr int kHttpUnavailable = 503;
+
+}  // namespace kcm::net
--- a/Libraries/LibNode/in_force.cc
+++ b/Libraries/LibNode/in_force.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr core::Millis kAskPeriod = 250;
+constexpr core::Millis kInForceAskPeriod = 250;
 /// Silence after which a process is no longer waited for.
 constexpr core::Millis kSilence = 1000;
 /// Span over which a question is remembered; asking again renews it.
@@ -65,7 +65,7 @@
         peer, "offset_query",
         {{"query", id}, {"stream", query.stream}, {"offset", query.offset}});
   }
-  loop_.After(kAskPeriod, [this, id] { Ask(id); });
+  loop_.After(kInForceAskPeriod, [this, id] { Ask(id); });
 }
 
 auto InForce::Finish(std::int64_t id) -> void {
--- a/Libraries/LibNode/log_follower.cc
+++ b/Libraries/LibNode/log_follower.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr core::Millis kAskPeriod = 250;
+constexpr core::Millis kLogAskPeriod = 250;
 constexpr core::Millis kFullPeriod = 1000;
 
 }  // namespace
@@ -24,7 +24,7 @@
       relay_since_(core::MonotonicNow()) {
   bus_.OnMessage("log_batch",
                  [this](const net::BusMessage& message) { OnBatch(message); });
-  loop.Every(kAskPeriod, [this] { Ask(); });
+  loop.Every(kLogAskPeriod, [this] { Ask(); });
   loop.After(0, [this] { Ask(); });
 }
 
--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -1,4 +1,5 @@
 #include "LibNode/metrics.h"
+#include "LibNet/http_status.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr std::size_t kMaxSeriesPerFamily = 256;
-constexpr int kHttpOk = 200;
 
 auto LabelsOf(const std::string& label, const std::string& value)
     -> prometheus::Labels {
@@ -29,7 +29,7 @@
       loop, address,
       [raw = metrics.get()](const net::HttpRequest& /*request*/,
                             const net::HttpReply& reply) {
-        reply.Send({kHttpOk,
+        reply.Send({net::kHttpOk,
                     {{"content-type", "text/plain; version=0.0.4"}},
                     raw->Serialize()});
       },
--- a/Libraries/LibNode/tracer.cc
+++ b/Libraries/LibNode/tracer.cc
@@ -1,4 +1,5 @@
 #include "LibNode/tracer.h"
+#include "LibNet/http_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,8 +12,7 @@
 constexpr core::Millis kFlushPeriod = 250;
 constexpr core::Millis kCollectorTimeout = 2000;
 constexpr std::size_t kMaxQueue = 4096;
-constexpr std::size_t kMaxBatch = 512;
-constexpr int kHttpOk = 200;
+constexpr std::size_t kMaxSpanBatch = 512;
 
 }  // namespace
 
@@ -50,7 +50,7 @@
   if (queue_.empty() || in_flight_) {
     return;
   }
-  const auto count = std::min(queue_.size(), kMaxBatch);
+  const auto count = std::min(queue_.size(), kMaxSpanBatch);
   const auto end = queue_.begin() + static_cast<std::ptrdiff_t>(count);
   const std::vector<core::Span> batch(queue_.begin(), end);
   queue_.erase(queue_.begin(), end);
@@ -64,7 +64,7 @@
              [this, count](const net::HttpResult& result) {
                in_flight_ = false;
                if (result.exchange != net::Exchange::kAnswered ||
-                   result.answer.status != kHttpOk) {
+                   result.answer.status != net::kHttpOk) {
                  dropped_ += count;
                }
              });
--- a/Libraries/LibPlatform/http_log_client.cc
+++ b/Libraries/LibPlatform/http_log_client.cc
@@ -1,4 +1,5 @@
 #include "LibPlatform/http_log_client.h"
+#include "LibNet/http_status.h"
 
 #include <utility>
 
@@ -10,9 +11,6 @@
 /// Time for a read's answer beyond the wait that it asked for.
 constexpr core::Millis kReadGrace = 500;
 constexpr int kReadLimit = 512;
-constexpr int kHttpOk = 200;
-constexpr int kHttpGone = 410;
-constexpr int kHttpTooMany = 429;
 
 auto PathOf(const std::string& stream) -> std::string {
   return "/v1/streams/" + stream + "/records";
@@ -29,9 +27,9 @@
   }
   // The log answers any other status only before it appends.
   switch (result.answer.status) {
-    case kHttpOk:
+    case net::kHttpOk:
       return AppendOutcome::kAppended;
-    case kHttpTooMany:
+    case net::kHttpTooMany:
       return AppendOutcome::kThrottled;
     default:
       return AppendOutcome::kRefused;
@@ -47,12 +45,12 @@
   if (!document.is_object()) {
     return read;
   }
-  if (result.answer.status == kHttpGone) {
+  if (result.answer.status == net::kHttpGone) {
     read.outcome = ReadOutcome::kExpired;
     read.earliest_offset = document.value("earliest_offset", std::int64_t{0});
     return read;
   }
-  if (result.answer.status != kHttpOk) {
+  if (result.answer.status != net::kHttpOk) {
     return read;
   }
   read.outcome = ReadOutcome::kRead;
--- a/Libraries/LibPlatform/http_minion_port.cc
+++ b/Libraries/LibPlatform/http_minion_port.cc
@@ -1,4 +1,5 @@
 #include "LibPlatform/http_minion_port.h"
+#include "LibNet/http_status.h"
 
 #include <utility>
 
@@ -6,9 +7,6 @@
 
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpUnavailable = 503;
-
 auto ToResult(const net::HttpResult& result, const std::string& hop_id)
     -> MinionResult {
   MinionResult outcome;
@@ -26,9 +24,9 @@
   outcome.status = answer.status;
   outcome.content_type = answer.header("content-type");
   outcome.body = answer.body;
-  if (answer.status == kHttpOk) {
+  if (answer.status == net::kHttpOk) {
     outcome.outcome = MinionOutcome::kAnswered;
-  } else if (answer.status == kHttpUnavailable &&
+  } else if (answer.status == net::kHttpUnavailable &&
              !answer.header("x-refused").empty()) {
     outcome.outcome = MinionOutcome::kRefused;
   } else {
--- a/Libraries/LibPlatform/http_vm_list.cc
+++ b/Libraries/LibPlatform/http_vm_list.cc
@@ -1,13 +1,13 @@
 #include "LibPlatform/http_vm_list.h"
 
 #include "LibCore/json.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::platform {
 
 namespace {
 
 constexpr core::Millis kListTimeout = 2000;
-constexpr int kHttpOk = 200;
 
 auto ToVm(const core::Json& document) -> std::optional<Vm> {
   core::Reason unused;
@@ -26,7 +26,7 @@
 
 auto ToVms(const net::HttpResult& result) -> std::optional<std::vector<Vm>> {
   if (result.exchange != net::Exchange::kAnswered ||
-      result.answer.status != kHttpOk) {
+      result.answer.status != net::kHttpOk) {
     return std::nullopt;
   }
   const auto document = core::Json::parse(result.answer.body, nullptr, false);
--- a/Libraries/LibPlatform/http_worker_port.cc
+++ b/Libraries/LibPlatform/http_worker_port.cc
@@ -1,4 +1,5 @@
 #include "LibPlatform/http_worker_port.h"
+#include "LibNet/http_status.h"
 
 #include <utility>
 
@@ -7,9 +8,8 @@
 namespace {
 
 constexpr core::Millis kWorkerTimeout = 1000;
-constexpr int kHttpOk = 200;
 
-auto OutcomeOf(const net::HttpResult& result) -> CommandOutcome {
+auto CommandOutcomeOf(const net::HttpResult& result) -> CommandOutcome {
   switch (result.exchange) {
     case net::Exchange::kNeverSent:
       return CommandOutcome::kNeverSent;
@@ -18,13 +18,13 @@
     case net::Exchange::kAnswered:
       break;
   }
-  return result.answer.status == kHttpOk ? CommandOutcome::kDone
-                                         : CommandOutcome::kRefused;
+  return result.answer.status == net::kHttpOk ? CommandOutcome::kDone
+                                              : CommandOutcome::kRefused;
 }
 
 auto ToReports(const net::HttpResult& result) -> RenewResult {
   if (result.exchange != net::Exchange::kAnswered ||
-      result.answer.status != kHttpOk) {
+      result.answer.status != net::kHttpOk) {
     return std::nullopt;
   }
   const auto document = core::Json::parse(result.answer.body, nullptr, false);
@@ -50,7 +50,7 @@
                              CommandDone done) -> void {
   Post(worker, "/v1/leases", request,
        [done = std::move(done)](const net::HttpResult& result) {
-         done(OutcomeOf(result));
+         done(CommandOutcomeOf(result));
        });
 }
 
@@ -64,7 +64,7 @@
       "/v1/leases/" + lease + "/" + std::string(core::NameOf(command));
   Post(worker, path, {{"term", term}, {"task", task}},
        [done = std::move(done)](const net::HttpResult& result) {
-         done(OutcomeOf(result));
+         done(CommandOutcomeOf(result));
        });
 }
 
--- a/Libraries/LibSchedule/explain.cc
+++ b/Libraries/LibSchedule/explain.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-auto Group(state::Adjacency adjacency) -> std::string {
+auto GroupName(state::Adjacency adjacency) -> std::string {
   switch (adjacency) {
     case state::Adjacency::kSameWorker:
       return "one worker";
@@ -93,7 +93,7 @@
   const auto& view = firm ? state.model.open : state.model.free;
   auto text = "the gang needs " + std::to_string(shape.members) +
               " members with " + std::to_string(shape.accelerators) +
-              " accelerators each in " + Group(shape.adjacency) +
+              " accelerators each in " + GroupName(shape.adjacency) +
               ", and the best has room for " +
               std::to_string(view.BestRoom(shape));
   if (firm && !state.ledger.IsWhole()) {
--- a/Libraries/LibSchedule/placement.cc
+++ b/Libraries/LibSchedule/placement.cc
@@ -34,7 +34,7 @@
 }
 
 /// Seats the gang on the fullest workers that still take members.
-auto Seat(Group group, const state::Shape& shape)
+auto SeatIn(Group group, const state::Shape& shape)
     -> std::vector<state::Member> {
   std::sort(group.begin(), group.end(),
             [](const auto* left, const auto* right) {
@@ -114,7 +114,7 @@
   if (tightest == nullptr) {
     return std::nullopt;
   }
-  return Seat(*tightest, shape);
+  return SeatIn(*tightest, shape);
 }
 
 }  // namespace kcm::schedule
--- a/Libraries/LibState/job.cc
+++ b/Libraries/LibState/job.cc
@@ -8,10 +8,9 @@
 
 namespace {
 
-constexpr double kMaxNameLength = 128;
 constexpr double kMaxRunMs = 1e10;
 
-const std::array kFields = {
+const std::array kJobFields = {
     core::Field<JobSpec>{"data_centre", &JobSpec::data_centre, true, 1,
                          kMaxNameLength, "data centre that runs the job"},
     core::Field<JobSpec>{"declared_run_ms", &JobSpec::declared_run_ms, false, 0,
@@ -28,7 +27,7 @@
     -> std::optional<JobSpec> {
   constexpr std::array<std::string_view, 3> kExtra = {"shape", "recovery",
                                                       "task"};
-  auto spec = core::ReadFields<JobSpec>(kFields, document, kExtra, reason);
+  auto spec = core::ReadFields<JobSpec>(kJobFields, document, kExtra, reason);
   if (!spec) {
     return std::nullopt;
   }
--- a/Libraries/LibState/row.cc
+++ b/Libraries/LibState/row.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr double kMaxNameLength = 128;
 constexpr double kDigestLength = 64;
 
 const std::array kRowFields = {
--- a/Libraries/LibState/shape.cc
+++ b/Libraries/LibState/shape.cc
@@ -10,7 +10,7 @@
 
 constexpr double kMaxMembers = 1024;
 
-const std::array kFields = {
+const std::array kShapeFields = {
     core::Field<Shape>{"members", &Shape::members, true, 1, kMaxMembers,
                        "members of the gang"},
     core::Field<Shape>{"accelerators", &Shape::accelerators, true, 0, 64,
@@ -26,7 +26,7 @@
 auto ReadShape(const core::Json& document, core::Reason& reason)
     -> std::optional<Shape> {
   constexpr std::array<std::string_view, 1> kExtra = {"adjacency"};
-  auto shape = core::ReadFields<Shape>(kFields, document, kExtra, reason);
+  auto shape = core::ReadFields<Shape>(kShapeFields, document, kExtra, reason);
   if (!shape || !document.contains("adjacency")) {
     return shape;
   }
--- a/Libraries/LibState/shape.h
+++ b/Libraries/LibState/shape.h
@@ -9,6 +9,9 @@
 
 namespace kcm::state {
 
+/// Longest name of an account, a data centre or a key, in bytes.
+inline constexpr double kMaxNameLength = 128;
+
 /// What a gang occupies: equal members and how close they must be.
 struct Shape {
   std::int64_t members = 1;
--- a/Meta/check-lint.sh
+++ b/Meta/check-lint.sh
@@ -1,31 +1,71 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on every source file of the build; files that were clean with
-# the same contents before are skipped.
+# Runs clang-tidy on every source file of the build; what was clean with the
+# same contents before is skipped.
+# Most of the linter's time goes to the headers of libraries, so it reads groups
+# of files of one target as a single translation unit. A group that does not
+# compile, as when two files use one name for two things, is checked file by
+# file.
 # The linter reads compile commands of its own, without precompiled headers:
 # those of the compiler mean nothing to it.
-# Usage: check-lint.sh [BUILD_FOLDER [FILE.cc...]]
+# Usage: check-lint.sh [BUILD_FOLDER [FILE.cc...]]; with files, only these are
+# checked, each alone.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-Build}
+shift || true
 cache="$build/lint"
 flags="$build/lint-flags"
+units="$build/lint-units"
+# Large enough to share the headers' cost, small enough to keep all cores busy.
+files_per_unit=12
 mkdir -p "$cache"
 cmake -G Ninja -S . -B "$flags" -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
-headers=$(git ls-files -z --cached --others --exclude-standard '*.h' .clang-tidy |
+cmake -G Ninja -S . -B "$units" -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON \
+  -DCMAKE_UNITY_BUILD=ON -DCMAKE_UNITY_BUILD_BATCH_SIZE=$files_per_unit >/dev/null
+headers=$(git ls-files -z --cached --others --exclude-standard '*.h' .clang-tidy Meta/check-lint.sh |
   sort -z | xargs -0 cat | sha256sum | cut -c1-16)
-export flags cache headers
-lint_one() {
+export flags units cache headers
+
+# Succeeds if nothing is found, now or before; prints what is found.
+# Usage: tidy FILE SOURCES OPTION..., SOURCES being what FILE holds.
+tidy() {
   local stamp
-  stamp="$cache/$(cat "$1" - <<<"$headers $1" | sha256sum | cut -c1-32)"
+  # shellcheck disable=SC2086  # the sources are words
+  stamp="$cache/$(cat $2 - <<<"$headers $*" | sha256sum | cut -c1-32)"
   [ -e "$stamp" ] && return 0
-  clang-tidy --quiet -p "$flags" "$1" 2>/dev/null && touch "$stamp"
+  clang-tidy --quiet --config-file=.clang-tidy "${@:3}" "$1" 2>/dev/null && touch "$stamp"
 }
-export -f lint_one
-shift || true
-files=("$@")
-if ((${#files[@]} == 0)); then
-  mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc')
-fi
-printf '%s\0' "${files[@]}" |
-  xargs -0 -P "$(nproc)" -I{} bash -c 'lint_one "$1"' _ {}
+
+lint_file() { tidy "$1" "$1" -p "$flags"; }
+
+# The unit itself includes source files, which only it may do.
+lint_unit() {
+  local sources found source status=0
+  sources=$(sed -n 's/^#include "\(.*\)"/\1/p' "$1")
+  found=$(tidy "$1" "$sources" -p "$units" \
+    --checks=-bugprone-suspicious-include) && return 0
+  if ! grep -q 'clang-diagnostic-error' <<<"$found"; then
+    echo "$found"
+    return 1
+  fi
+  echo "lint: $1 does not compile as one, its files are checked one by one"
+  for source in $sources; do
+    lint_file "$source" || status=1
+  done
+  return $status
+}
+
+run() { "lint_$1" "$2"; }
+export -f tidy lint_file lint_unit run
+
+if (($# > 0)); then
+  printf 'file %s\n' "$@"
+else
+  # Stands in for bugprone-suspicious-include, which the units switch off.
+  if git grep -n --untracked '#include ".*\.\(cc\|cpp\|cxx\|c\)"' -- '*.cc' '*.h'; then
+    echo "lint: a source file is included"
+    exit 1
+  fi
+  find "$units" -name 'unity_*.cxx' -size +0 | sed 's/^/unit /'
+fi | xargs -P "$(nproc)" -L 1 bash -c 'run "$1" "$2"' _
 echo "lint: clean"
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibCore/event.h"
+#include "LibNet/http_status.h"
 #include "platform/adapter.h"
 #include "platform/client_http.h"
 #include "platform/job_request.h"
@@ -27,8 +28,6 @@
 /// Kept of the grace for the exit itself.
 constexpr Millis kExitMarginMs = 500;
 constexpr Millis kIdleCheckMs = 50;
-constexpr int kHttpOk = 200;
-constexpr int kHttpUnavailable = 503;
 
 auto ReadText(const std::string& path) -> std::string {
   const std::ifstream file(path);
@@ -94,7 +93,7 @@
         if (std::exchange(was_ready_, is_ready) != is_ready) {
           core::LogEvent(core::Event::kReadyChanged, {{"ready", is_ready}});
         }
-        reply.Send({is_ready ? kHttpOk : kHttpUnavailable, {}, ""});
+        reply.Send({is_ready ? net::kHttpOk : net::kHttpUnavailable, {}, ""});
       },
       reason);
   return ready_ != nullptr;
--- a/Services/Gateway/fleet_api.cc
+++ b/Services/Gateway/fleet_api.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "LibCore/clock.h"
+#include "LibNet/http_status.h"
 #include "LibState/cordon.h"
 
 namespace kcm::gateway {
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr core::Millis kCordonTimeout = 10000;
-constexpr int kHttpOk = 200;
 
 /// @return ids of the placed jobs by worker.
 auto JobsByWorker(node::Node& node) -> std::map<std::string, core::Json> {
@@ -46,7 +46,7 @@
         jobs.contains(worker.id) ? jobs[worker.id] : core::Json::array();
     workers.push_back(std::move(entry));
   }
-  call.reply.SendJson(kHttpOk, {{"workers", workers}});
+  call.reply.SendJson(net::kHttpOk, {{"workers", workers}});
 }
 
 auto FleetApi::Cordon(const ApiCall& call) -> void {
@@ -80,8 +80,8 @@
           call.reply.SendError(verdict.reason);
           return;
         }
-        call.reply.SendJson(kHttpOk, {{"worker", cordon.worker},
-                                      {"cordoned", cordon.cordoned}});
+        call.reply.SendJson(net::kHttpOk, {{"worker", cordon.worker},
+                                           {"cordoned", cordon.cordoned}});
       });
 }
 
@@ -100,7 +100,7 @@
                              {"address", vm.address.ToString()},
                              {"leaving", vm.leaving}});
         }
-        call.reply.SendJson(kHttpOk, {{"minions", minions}});
+        call.reply.SendJson(net::kHttpOk, {{"minions", minions}});
       });
 }
 
--- a/Services/Gateway/gateway_service.cc
+++ b/Services/Gateway/gateway_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibCore/nearest.h"
+#include "LibNet/http_status.h"
 #include "LibNode/hop_span.h"
 #include "LibNode/relay_choice.h"
 
@@ -15,7 +16,6 @@
 
 constexpr core::Millis kDrainPoll = 20;
 constexpr core::Millis kDrainSettle = 500;
-constexpr int kHttpOk = 200;
 
 /// Who may make a call.
 enum class Access : std::uint8_t { kAnyone, kCaller, kOperator };
@@ -179,7 +179,7 @@
 
 auto GatewayService::ShowHealth(const ApiCall& call) -> void {
   const bool ready = !draining_ && follower_.caught_up();
-  call.reply.SendJson(kHttpOk, {{"node", node_.self()}, {"ready", ready}});
+  call.reply.SendJson(net::kHttpOk, {{"node", node_.self()}, {"ready", ready}});
 }
 
 auto GatewayService::ShowStatus(const ApiCall& call) -> void {
@@ -191,7 +191,7 @@
   for (const auto& data_centre : node_.DataCentresOf("")) {
     terms[data_centre] = node_.log().world().FindCell(data_centre)->term();
   }
-  call.reply.SendJson(kHttpOk,
+  call.reply.SendJson(net::kHttpOk,
                       {{"node", node_.self()},
                        {"relay", follower_.relay()},
                        {"confirmed_ms_ago", follower_.ConfirmedAge()},
--- a/Services/Gateway/intent_task.cc
+++ b/Services/Gateway/intent_task.cc
@@ -7,6 +7,7 @@
 #include "LibCore/event.h"
 #include "LibCore/identity.h"
 #include "LibCore/stable_hash.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::gateway {
 
@@ -18,9 +19,8 @@
 constexpr core::Millis kOutcomeTimeout = 600000;
 constexpr core::Millis kOutcomePoll = 20;
 /// The answer has to reach the caller before its deadline.
-constexpr core::Millis kAnswerMargin = 100;
+constexpr core::Millis kRecordMargin = 100;
 constexpr std::size_t kMaxRecordedBody = 16384;
-constexpr int kHttpConflict = 409;
 
 auto IsPrintable(const std::string& text) -> bool {
   return std::all_of(text.begin(), text.end(),
@@ -39,7 +39,7 @@
     return answer;
   }
   // The conclusion still holds, but an empty body must not look whole.
-  answer.status = kHttpConflict;
+  answer.status = net::kHttpConflict;
   answer.headers["content-type"] = "application/json";
   answer.body =
       core::ToErrorBody({core::ErrorKind::kConflict, "idempotency-key",
@@ -104,7 +104,7 @@
       open->intent_stream,
       state::MakeRecord(state::RecordKind::kIntentRecorded, node_.self(),
                         intent),
-      std::min(open->deadline - kAnswerMargin, now + kRecordTimeout),
+      std::min(open->deadline - kRecordMargin, now + kRecordTimeout),
       [this, open, done = std::move(done)](const state::Verdict& verdict) {
         OnVerdict(open, verdict, done);
       });
@@ -152,7 +152,7 @@
     done({IntentDecision::Kind::kRepeated, AnswerOf(*intent), {}});
     return;
   }
-  if (core::MonotonicNow() >= open->deadline - kAnswerMargin) {
+  if (core::MonotonicNow() >= open->deadline - kRecordMargin) {
     done({IntentDecision::Kind::kRefused,
           {},
           {core::ErrorKind::kOutcomeUnknown, "idempotency-key",
--- a/Services/Gateway/job_api.cc
+++ b/Services/Gateway/job_api.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/clock.h"
 #include "LibCore/identity.h"
+#include "LibNet/http_status.h"
 #include "LibSchedule/placement.h"
 
 namespace kcm::gateway {
@@ -11,8 +12,6 @@
 namespace {
 
 constexpr core::Millis kSubmitTimeout = 10000;
-constexpr int kHttpOk = 200;
-constexpr int kHttpAccepted = 202;
 
 auto IsVisibleTo(const Caller& caller, const state::Job& job) -> bool {
   return caller.is_operator || caller.account == job.spec.account;
@@ -64,13 +63,13 @@
                          const std::string& id,
                          const state::Verdict& verdict) -> void {
   if (verdict.accepted) {
-    call.reply.SendJson(kHttpAccepted, {{"job", id}});
+    call.reply.SendJson(net::kHttpAccepted, {{"job", id}});
     return;
   }
   const auto* cell = node_.log().world().FindCell(spec.data_centre);
   const auto* earlier = cell->FindKey(spec.account, spec.idempotency_key);
   if (verdict.reason.kind == core::ErrorKind::kConflict && earlier != nullptr) {
-    call.reply.SendJson(kHttpAccepted,
+    call.reply.SendJson(net::kHttpAccepted,
                         {{"job", earlier->id}, {"repeated", true}});
     return;
   }
@@ -91,7 +90,7 @@
       }
     }
   }
-  call.reply.SendJson(kHttpOk, {{"jobs", jobs}});
+  call.reply.SendJson(net::kHttpOk, {{"jobs", jobs}});
 }
 
 auto JobApi::FindVisible(const ApiCall& call) -> const state::Job* {
@@ -114,13 +113,13 @@
   }
   core::Json document = *job;
   if (job->status != state::JobStatus::kAccepted) {
-    call.reply.SendJson(kHttpOk, document);
+    call.reply.SendJson(net::kHttpOk, document);
     return;
   }
   explainer_.Ask(*job, [call, document](const std::string& text) mutable {
     document["waiting_because"] =
         text.empty() ? "the scheduler did not answer" : text;
-    call.reply.SendJson(kHttpOk, document);
+    call.reply.SendJson(net::kHttpOk, document);
   });
 }
 
@@ -137,7 +136,7 @@
       core::MonotonicNow() + kSubmitTimeout,
       [call](const state::Verdict& verdict) {
         if (verdict.accepted) {
-          call.reply.SendJson(kHttpAccepted, {{"cancelled", true}});
+          call.reply.SendJson(net::kHttpAccepted, {{"cancelled", true}});
           return;
         }
         call.reply.SendError(verdict.reason);
--- a/Services/Gateway/request_api.cc
+++ b/Services/Gateway/request_api.cc
@@ -7,6 +7,7 @@
 #include "LibCore/clock.h"
 #include "LibCore/event.h"
 #include "LibCore/identity.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::gateway {
 
@@ -20,7 +21,6 @@
 /// The answer has to reach the caller before its deadline.
 constexpr core::Millis kAnswerMargin = 20;
 constexpr int kMaxAttempts = 4;
-constexpr int kHttpOk = 200;
 constexpr std::size_t kMaxKeyLength = 128;
 /// Units into which an account's rate is divided among the gateways.
 constexpr std::int64_t kRateUnits = 60;
@@ -337,7 +337,7 @@
   SpendLink(*open, route, result.body.size());
   switch (result.outcome) {
     case platform::MinionOutcome::kAnswered:
-      Finish(open, {kHttpOk,
+      Finish(open, {net::kHttpOk,
                     {{"content-type", result.content_type},
                      {"x-conclusion",
                       std::string(core::NameOf(core::Conclusion::kDone))}},
--- a/Services/Gateway/status_api.cc
+++ b/Services/Gateway/status_api.cc
@@ -1,4 +1,5 @@
 #include "status_api.h"
+#include "LibNet/http_status.h"
 
 #include <algorithm>
 #include <array>
@@ -10,7 +11,6 @@
 
 /// Span that a process has to answer, a cut region included.
 constexpr core::Millis kAnswerSpan = 400;
-constexpr int kHttpOk = 200;
 
 /// @return records by which `offsets` stand behind the furthest known ones.
 auto LagOf(const core::Json& offsets, const core::Json& furthest)
@@ -101,7 +101,7 @@
          {"records_behind", LagOf(answer.at("next_offsets"), furthest)},
          {"schedules", answer.at("schedules")}});
   }
-  call.reply.SendJson(kHttpOk,
+  call.reply.SendJson(net::kHttpOk,
                       {{"table_version", newest}, {"processes", processes}});
 }
 
--- a/Services/Gateway/table_api.cc
+++ b/Services/Gateway/table_api.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/clock.h"
 #include "LibCore/event.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::gateway {
 
@@ -12,7 +13,6 @@
 constexpr core::Millis kEditTimeout = 10000;
 /// Longest wait for all processes to have an accepted row in force.
 constexpr core::Millis kInForceTimeout = 5000;
-constexpr int kHttpOk = 200;
 
 /// Tokens are shown to nobody, their digests neither.
 auto ToPublicJson(const state::Row& row) -> core::Json {
@@ -30,7 +30,8 @@
   for (const auto& [account, row] : table.rows()) {
     rows.push_back(ToPublicJson(row));
   }
-  call.reply.SendJson(kHttpOk, {{"version", table.version()}, {"rows", rows}});
+  call.reply.SendJson(net::kHttpOk,
+                      {{"version", table.version()}, {"rows", rows}});
 }
 
 auto TableApi::ShowRow(const ApiCall& call) -> void {
@@ -41,7 +42,7 @@
            "The table has no row for \"" + account + "\".");
     return;
   }
-  call.reply.SendJson(kHttpOk, ToPublicJson(*row));
+  call.reply.SendJson(net::kHttpOk, ToPublicJson(*row));
 }
 
 auto TableApi::EditRow(const ApiCall& call) -> void {
@@ -91,7 +92,7 @@
 auto TableApi::AnswerAccepted(const ApiCall& call, core::Json document)
     -> void {
   if (call.request.argument("wait", "") != "everywhere") {
-    call.reply.SendJson(kHttpOk, document);
+    call.reply.SendJson(net::kHttpOk, document);
     return;
   }
   const std::string table(state::kTableStream);
@@ -101,7 +102,7 @@
                            document["in_force"] = {
                                {"everywhere", missing.empty()},
                                {"missing", missing}};
-                           call.reply.SendJson(kHttpOk, document);
+                           call.reply.SendJson(net::kHttpOk, document);
                          });
 }
 
@@ -113,11 +114,11 @@
                        {"by", change.by},
                        {"row", ToPublicJson(change.row)}});
   }
-  call.reply.SendJson(kHttpOk, {{"history", changes}});
+  call.reply.SendJson(net::kHttpOk, {{"history", changes}});
 }
 
 auto TableApi::ShowFleet(const ApiCall& call) -> void {
-  call.reply.SendJson(kHttpOk, node_.log().world().table().fleet());
+  call.reply.SendJson(net::kHttpOk, node_.log().world().table().fleet());
 }
 
 auto TableApi::RecordFleet(const ApiCall& call) -> void {
--- a/Tests/LibRequest/router_test.cc
+++ b/Tests/LibRequest/router_test.cc
@@ -5,15 +5,15 @@
 namespace kcm::request {
 namespace {
 
-constexpr std::int64_t kSlots = 8;
+constexpr std::int64_t kMinionSlots = 8;
 
 class RouterTest : public testing::Test {
  protected:
   RouterTest()
       : ledger_({"entry-1", {"entry-1"}, 1}, 0),
-        router_(
-            {"hobart-a", "tas-south", RoutingStrategy::kLeastLoaded, kSlots},
-            ledger_) {
+        router_({"hobart-a", "tas-south", RoutingStrategy::kLeastLoaded,
+                 kMinionSlots},
+                ledger_) {
     router_.SetMinions({{"near-1", "hobart-a", "tas-south"},
                         {"near-2", "hobart-a", "tas-south"},
                         {"near-3", "hobart-b", "tas-south"},
@@ -62,8 +62,9 @@
     ++taken[route->minion];
   }
   EXPECT_EQ(taken,
-            (std::map<std::string, std::int64_t>{
-                {"near-1", kSlots}, {"near-2", kSlots}, {"near-3", kSlots}}));
+            (std::map<std::string, std::int64_t>{{"near-1", kMinionSlots},
+                                                 {"near-2", kMinionSlots},
+                                                 {"near-3", kMinionSlots}}));
   const auto crossing = Acquire(0, true);
   ASSERT_TRUE(crossing.has_value());
   EXPECT_TRUE(crossing->crosses_regions);
--- a/Tests/LibSchedule/cell_history.h
+++ b/Tests/LibSchedule/cell_history.h
@@ -12,6 +12,9 @@
 
 namespace kcm::schedule {
 
+/// Time between two plans of the tests.
+inline constexpr core::Millis kTick = 100;
+
 /// @return a fleet with workers w<rack>-<n> of 8 accelerators each.
 inline auto FleetOf(int racks, int workers) -> state::Fleet {
   state::Fleet fleet;
--- a/Tests/LibSchedule/overload_test.cc
+++ b/Tests/LibSchedule/overload_test.cc
@@ -8,8 +8,6 @@
 
 using state::Recovery;
 
-constexpr core::Millis kTick = 100;
-
 struct StreamCase {
   const char* name;
   Recovery recovery;
--- a/Tests/LibSchedule/planner_test.cc
+++ b/Tests/LibSchedule/planner_test.cc
@@ -10,8 +10,6 @@
 using state::Adjacency;
 using state::Recovery;
 
-constexpr core::Millis kTick = 100;
-
 TEST(Planner, ReclaimPreemptsTheCheapestBorrowersOnce) {
   CellHistory cell;
   cell.planner.SetFleet(FleetOf(2, 1));
--- a/Tests/StandIns/FaultProxy/main.cc
+++ b/Tests/StandIns/FaultProxy/main.cc
@@ -2,6 +2,7 @@
 #include <memory>
 
 #include "../Common/run_standin.h"
+#include "LibNet/http_status.h"
 #include "route.h"
 
 namespace kcm::standin {
@@ -37,7 +38,6 @@
              const net::HttpRequest& request,
              const net::HttpReply& reply) -> void {
   constexpr std::string_view kPrefix = "/routes/";
-  constexpr int kHttpOk = 200;
   const auto prefix =
       request.path.substr(std::min(request.path.size(), kPrefix.size()));
   const auto body = BodyOf(request);
@@ -53,7 +53,7 @@
     }
     answer[name] = {{"faults", route->faults()}, {"traffic", route->traffic()}};
   }
-  reply.SendJson(kHttpOk, answer);
+  reply.SendJson(net::kHttpOk, answer);
 }
 
 }  // namespace
--- a/Tests/StandIns/Minion/minion.cc
+++ b/Tests/StandIns/Minion/minion.cc
@@ -5,18 +5,10 @@
 #include <utility>
 
 #include "../Common/run_standin.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::standin {
 
-namespace {
-
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpError = 500;
-constexpr int kHttpUnavailable = 503;
-
-}  // namespace
-
 Minion::Minion(net::EventLoop& loop,
                std::string id,
                int slots,
@@ -40,20 +32,20 @@
     faults_.failing = body.value("failing", faults_.failing);
     faults_.slow_ms = body.value("slow_ms", faults_.slow_ms);
     faults_.crossed = body.value("crossed", faults_.crossed);
-    reply.SendJson(kHttpOk, {{"runs", runs_},
-                             {"busy", busy_},
-                             {"peak", peak_},
-                             {"refusals", refusals_}});
+    reply.SendJson(net::kHttpOk, {{"runs", runs_},
+                                  {"busy", busy_},
+                                  {"peak", peak_},
+                                  {"refusals", refusals_}});
     return;
   }
-  reply.SendJson(kHttpNotFound, core::Json::object());
+  reply.SendJson(net::kHttpNotFound, core::Json::object());
 }
 
 auto Minion::Work(const net::HttpRequest& request, const net::HttpReply& reply)
     -> void {
   if (faults_.leaving || busy_ >= slots_) {
     ++refusals_;
-    reply.Send({kHttpUnavailable,
+    reply.Send({net::kHttpUnavailable,
                 {{"x-request-id", request.header("x-request-id")},
                  {"x-refused", faults_.leaving ? "leaving" : "full"},
                  {"x-leaving", faults_.leaving ? "true" : "false"}},
@@ -83,7 +75,7 @@
   if (faults_.crossed) {
     request_id = std::exchange(last_request_id_, request_id);
   }
-  reply.Send({faults_.failing ? kHttpError : kHttpOk,
+  reply.Send({faults_.failing ? net::kHttpInternalError : net::kHttpOk,
               {{"x-request-id", request_id},
                {"content-type", "text/plain"},
                {"x-leaving", faults_.leaving ? "true" : "false"}},
--- a/Tests/StandIns/Platform/log_service.cc
+++ b/Tests/StandIns/Platform/log_service.cc
@@ -4,15 +4,12 @@
 #include <utility>
 
 #include "../Common/run_standin.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::standin {
 
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpGone = 410;
-constexpr int kHttpTooMany = 429;
-constexpr int kHttpUnavailable = 503;
 constexpr std::string_view kPrefix = "/v1/streams/";
 constexpr std::string_view kSuffix = "/records";
 
@@ -21,7 +18,7 @@
 auto LogService::Serve(const net::HttpRequest& request,
                        const net::HttpReply& reply) -> void {
   if (faults_.down) {
-    reply.SendJson(kHttpUnavailable, {{"error", "down"}});
+    reply.SendJson(net::kHttpUnavailable, {{"error", "down"}});
     return;
   }
   const auto name = request.path.substr(
@@ -54,7 +51,7 @@
                         const net::HttpRequest& request,
                         const net::HttpReply& reply) -> void {
   if (OverRate()) {
-    reply.SendJson(kHttpTooMany, {{"error", "append rate"}});
+    reply.SendJson(net::kHttpTooMany, {{"error", "append rate"}});
     return;
   }
   const auto body = BodyOf(request);
@@ -73,10 +70,10 @@
     --faults_.lose_answers;
     // The reply is dropped: the writer sees a timeout, the record stands.
     constexpr core::Millis kHold = 60000;
-    loop_.After(kHold, [reply] { reply.SendJson(kHttpUnavailable, {}); });
+    loop_.After(kHold, [reply] { reply.SendJson(net::kHttpUnavailable, {}); });
     return;
   }
-  reply.SendJson(kHttpOk, {{"first_offset", first}});
+  reply.SendJson(net::kHttpOk, {{"first_offset", first}});
 }
 
 auto LogService::AnswerRead(const Stream& stream,
@@ -84,7 +81,7 @@
                             std::size_t limit,
                             const net::HttpReply& reply) const -> void {
   if (from < stream.first_offset) {
-    reply.SendJson(kHttpGone, {{"earliest_offset", stream.first_offset}});
+    reply.SendJson(net::kHttpGone, {{"earliest_offset", stream.first_offset}});
     return;
   }
   core::Json records = core::Json::array();
@@ -92,7 +89,7 @@
   for (auto i = skip; i < std::min(stream.records.size(), skip + limit); ++i) {
     records.push_back(stream.records[i]);
   }
-  reply.SendJson(kHttpOk, {{"first_offset", from}, {"records", records}});
+  reply.SendJson(net::kHttpOk, {{"first_offset", from}, {"records", records}});
 }
 
 auto LogService::Read(const std::string& name,
@@ -141,7 +138,7 @@
   if (faults_.down) {
     for (auto& [name, stream] : streams_) {
       for (const auto& waiter : std::exchange(stream.waiters, {})) {
-        waiter.reply.SendJson(kHttpUnavailable, {{"error", "down"}});
+        waiter.reply.SendJson(net::kHttpUnavailable, {{"error", "down"}});
       }
     }
   }
--- a/Tests/StandIns/Platform/main.cc
+++ b/Tests/StandIns/Platform/main.cc
@@ -1,6 +1,7 @@
 #include <fstream>
 
 #include "../Common/run_standin.h"
+#include "LibNet/http_status.h"
 #include "log_service.h"
 #include "vm_service.h"
 
@@ -12,8 +13,6 @@
            VmService& vms,
            const net::HttpRequest& request,
            const net::HttpReply& reply) -> void {
-  constexpr int kHttpOk = 200;
-  constexpr int kHttpNotFound = 404;
   const auto& path = request.path;
   if (path.starts_with("/v1/streams/")) {
     log.Serve(request, reply);
@@ -21,7 +20,7 @@
     vms.Serve(request, reply);
   } else if (path == "/control/log") {
     log.Control(BodyOf(request));
-    reply.SendJson(kHttpOk, log.Counters());
+    reply.SendJson(net::kHttpOk, log.Counters());
   } else if (path == "/control/vms") {
     const auto body = BodyOf(request);
     if (body.contains("lag_ms")) {
@@ -33,9 +32,9 @@
     if (body.contains("id")) {
       vms.Change(body.at("id").get<std::string>(), body.at("change"));
     }
-    reply.SendJson(kHttpOk, core::Json::object());
+    reply.SendJson(net::kHttpOk, core::Json::object());
   } else {
-    reply.SendJson(kHttpNotFound, core::Json::object());
+    reply.SendJson(net::kHttpNotFound, core::Json::object());
   }
 }
 
--- a/Tests/StandIns/Platform/vm_service.cc
+++ b/Tests/StandIns/Platform/vm_service.cc
@@ -1,4 +1,5 @@
 #include "vm_service.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::standin {
 
@@ -21,7 +22,6 @@
 
 auto VmService::Serve(const net::HttpRequest& request,
                       const net::HttpReply& reply) -> void {
-  constexpr int kHttpOk = 200;
   const auto horizon = core::MonotonicNow() - lag_;
   while (versions_.size() > 1 && versions_[1].first <= horizon) {
     versions_.pop_front();
@@ -35,7 +35,7 @@
       }
     }
   }
-  reply.SendJson(kHttpOk, {{"vms", vms}});
+  reply.SendJson(net::kHttpOk, {{"vms", vms}});
 }
 
 }  // namespace kcm::standin
--- a/Tests/StandIns/Worker/worker.cc
+++ b/Tests/StandIns/Worker/worker.cc
@@ -6,14 +6,12 @@
 
 #include "../Common/run_standin.h"
 #include "LibCore/clock.h"
+#include "LibNet/http_status.h"
 
 namespace kcm::standin {
 
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpConflict = 409;
 constexpr core::Millis kExpirePeriod = 50;
 constexpr core::Millis kDefaultTtl = 5000;
 constexpr core::Millis kDefaultRun = 1000;
@@ -60,9 +58,9 @@
         body.value("ignore_checkpoint", faults_.ignore_checkpoint);
     faults_.fail_tasks = body.value("fail_tasks", faults_.fail_tasks);
     faults_.usage_lag_ms = body.value("usage_lag_ms", faults_.usage_lag_ms);
-    reply.SendJson(kHttpOk, core::Json::object());
+    reply.SendJson(net::kHttpOk, core::Json::object());
   } else {
-    reply.SendJson(kHttpNotFound, core::Json::object());
+    reply.SendJson(net::kHttpNotFound, core::Json::object());
   }
 }
 
@@ -70,7 +68,7 @@
     -> bool {
   const auto term = body.value("term", std::int64_t{0});
   if (term < highest_term_) {
-    reply.SendJson(kHttpConflict, {{"error", "fenced"}});
+    reply.SendJson(net::kHttpConflict, {{"error", "fenced"}});
     return true;
   }
   highest_term_ = term;
@@ -101,11 +99,11 @@
     taken = taken || index < 0 || index >= accelerators_;
   }
   if (taken) {
-    reply.SendJson(kHttpConflict, {{"error", "taken"}});
+    reply.SendJson(net::kHttpConflict, {{"error", "taken"}});
     return;
   }
   leases_[id] = std::move(lease);
-  reply.SendJson(kHttpOk, core::Json::object());
+  reply.SendJson(net::kHttpOk, core::Json::object());
 }
 
 auto Worker::Renew(const core::Json& body, const net::HttpReply& reply)
@@ -124,7 +122,7 @@
     lease.expires_at = core::MonotonicNow() + body.value("ttl_ms", kDefaultTtl);
     reports[id] = {{"state", lease.state}, {"checkpoint", lease.checkpoint}};
   }
-  reply.SendJson(kHttpOk, {{"leases", reports}});
+  reply.SendJson(net::kHttpOk, {{"leases", reports}});
 }
 
 auto Worker::Command(const std::string& id,
@@ -137,7 +135,7 @@
   const auto found = leases_.find(id);
   if (found == leases_.end()) {
     ended_.insert(id);
-    reply.SendJson(kHttpNotFound, {{"error", "no such lease"}});
+    reply.SendJson(net::kHttpNotFound, {{"error", "no such lease"}});
     return;
   }
   auto& lease = found->second;
@@ -162,7 +160,7 @@
     ended_.insert(id);
     leases_.erase(found);
   }
-  reply.SendJson(kHttpOk, core::Json::object());
+  reply.SendJson(net::kHttpOk, core::Json::object());
 }
 
 auto Worker::Start(const std::string& id, Lease& lease, const core::Json& task)
@@ -203,7 +201,7 @@
   }
   const core::Json usage = {{"worker", id_}, {"leases", used}};
   loop_.After(faults_.usage_lag_ms,
-              [usage, reply] { reply.SendJson(kHttpOk, usage); });
+              [usage, reply] { reply.SendJson(net::kHttpOk, usage); });
 }
 
 auto Worker::Expire() -> void {
--- a/Utilities/kcm-bench/scale.cc
+++ b/Utilities/kcm-bench/scale.cc
@@ -9,13 +9,13 @@
 #include "LibCore/check.h"
 #include "LibSchedule/planner.h"
 #include "simulation.h"
+#include "workload.h"
 
 namespace kcm::bench {
 
 namespace {
 
 constexpr std::array kSizes = {50, 500, 2000, 8000, 20000};
-constexpr int kWorkersPerRack = 8;
 /// One rack in this many has accelerators.
 constexpr int kRacksPerAcceleratorRack = 5;
 constexpr std::int64_t kTasksPerWorker = 13;
--- a/Utilities/kcm-bench/workload.cc
+++ b/Utilities/kcm-bench/workload.cc
@@ -15,7 +15,6 @@
 constexpr core::Millis kHour = 60 * kMinute;
 constexpr core::Millis kArrivalSpan = 12 * kHour;
 constexpr int kWorkers = 50;
-constexpr int kWorkersPerRack = 8;
 constexpr std::int64_t kAcceleratorsPerWorker = 8;
 /// Share of the fleet that the steady arrivals ask for.
 constexpr double kSteadyLoad = 0.85;
--- a/Utilities/kcm-bench/workload.h
+++ b/Utilities/kcm-bench/workload.h
@@ -12,6 +12,9 @@
 
 namespace kcm::bench {
 
+/// Workers of a rack in the modelled fleets.
+inline constexpr int kWorkersPerRack = 8;
+
 /// A job of the list of arrivals, with what it really needs.
 struct Arrival {
   core::Millis at = 0;
