--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -66,8 +66,8 @@
 
 auto Dispatcher::StopBrokenGang(Job& job, Step& step) -> void {
   const auto& first = step.tasks.front();
-  const auto is_whole = std::all_of(
-      step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+  const auto is_whole =
+      std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
         return task.phase == first.phase && task.attempt == first.attempt;
       });
   if (job.SpecOf(step).gang && !is_whole) {
