LibDispatch: Rank scheduled times from when they are due, lasting tasks as in time

Cause: a job was ranked by its age since it was accepted, so a scheduled time that had just come counted as long past its objective and stood behind all other work; the chain and the work left were those of all times together. Tasks that last have an estimate of nothing and became "late" within seconds. Both kinds of job were built but untested.

Runs of a job that has ended count as room that opens by itself; before, they looked like the cheapest victims, and an eviction of a run whose job is known no more would have ended the process. No test reaches that: such runs are gone within a look.

--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -121,7 +121,7 @@
     if (IsEnded(job.phase)) {
       continue;
     }
-    std::optional<JobRank> rank;
+    std::map<std::int64_t, JobRank> ranks;
     for (auto& step : job.steps) {
       if (step.done == static_cast<std::int64_t>(step.tasks.size()) ||
           now.wall < step.due_at || !job.IsUnlocked(step)) {
@@ -137,11 +137,15 @@
           (job.SpecOf(step).gang && unit.tasks.size() < step.tasks.size())) {
         continue;
       }
-      if (!rank) {
-        rank = RankOf(job, PolicyOf(job), estimates_, covered.contains(id),
-                      now.wall);
+      auto rank = ranks.find(step.occurrence);
+      if (rank == ranks.end()) {
+        rank = ranks
+                   .emplace(step.occurrence,
+                            RankOf(job, step.occurrence, PolicyOf(job),
+                                   estimates_, covered.contains(id), now.wall))
+                   .first;
       }
-      unit.rank = *rank;
+      unit.rank = rank->second;
       units.push_back(std::move(unit));
     }
   }
@@ -159,6 +163,8 @@
   auto* job = book_.Find(run.task.job);
   auto* step = job == nullptr ? nullptr : job->FindStep(run.task);
   if (step == nullptr || seated.stopping || IsEnded(job->phase)) {
+    // Its room opens by itself.
+    seated.stopping = true;
     return seated;
   }
   const auto& spec = job->SpecOf(*step);
--- a/Libraries/LibDispatch/job_order.cc
+++ b/Libraries/LibDispatch/job_order.cc
@@ -1,6 +1,7 @@
 #include "LibDispatch/job_order.h"
 
 #include <algorithm>
+#include <span>
 #include <vector>
 
 namespace kcm::dispatch {
@@ -13,10 +14,18 @@
 /// Results are of some use up to this many times the objective.
 constexpr double kLatestUse = 3;
 
-auto WorkLeft(const Job& job, const schedule::RunTimeEstimate& estimates)
-    -> double {
+/// The steps of one occurrence.
+auto StepsOf(const Job& job, std::int64_t occurrence) -> std::span<const Step> {
+  const auto count = job.spec.steps.size();
+  return std::span(job.steps).subspan(
+      static_cast<std::size_t>(occurrence) * count, count);
+}
+
+auto WorkLeft(const Job& job,
+              std::span<const Step> steps,
+              const schedule::RunTimeEstimate& estimates) -> double {
   double work = 0;
-  for (const auto& step : job.steps) {
+  for (const auto& step : steps) {
     const auto& spec = job.SpecOf(step);
     const auto left = spec.tasks - step.done;
     work += static_cast<double>(
@@ -38,18 +47,18 @@
 }
 
 auto LongestChainMs(const Job& job,
+                    std::int64_t occurrence,
                     const schedule::RunTimeEstimate& estimates,
                     bool whole) -> core::Millis {
-  std::vector<core::Millis> ends(job.steps.size());
+  const auto steps = StepsOf(job, occurrence);
+  std::vector<core::Millis> ends(steps.size());
   core::Millis longest = 0;
-  const auto stride = job.spec.steps.size();
-  for (std::size_t index = 0; index < job.steps.size(); ++index) {
-    const auto& step = job.steps[index];
+  for (std::size_t index = 0; index < steps.size(); ++index) {
+    const auto& step = steps[index];
     const auto& spec = job.SpecOf(step);
-    const auto first = index - index % stride;
     core::Millis begin = 0;
     for (const auto before : spec.after) {
-      begin = std::max(begin, ends[first + static_cast<std::size_t>(before)]);
+      begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
     }
     const auto is_done =
         !whole && step.done == static_cast<std::int64_t>(step.tasks.size());
@@ -60,30 +69,39 @@
 }
 
 auto RankOf(const Job& job,
+            std::int64_t occurrence,
             const QueuePolicy& policy,
             const schedule::RunTimeEstimate& estimates,
             bool guaranteed,
             core::Millis now) -> JobRank {
-  const auto chain = static_cast<double>(LongestChainMs(job, estimates, true));
-  const auto left = static_cast<double>(LongestChainMs(job, estimates, false));
+  const auto steps = StepsOf(job, occurrence);
+  const auto chain =
+      static_cast<double>(LongestChainMs(job, occurrence, estimates, true));
+  const auto left =
+      static_cast<double>(LongestChainMs(job, occurrence, estimates, false));
   const auto objective = policy.slack_factor * chain +
                          static_cast<double>(policy.target_latency_ms);
-  const auto age = static_cast<double>(now - job.spec.accepted_at);
+  const auto wanted_at = std::max(job.spec.accepted_at, steps.front().due_at);
+  const auto age = static_cast<double>(now - wanted_at);
   JobRank rank;
   rank.priority = policy.priority;
-  rank.accepted_at = job.spec.accepted_at;
+  rank.accepted_at = wanted_at;
   rank.urgency = objective - age - left;
   if (guaranteed) {
     rank.tier = JobTier::kGuaranteed;
     return rank;
   }
-  if (rank.urgency > -kEstimateTolerance * left) {
+  // A task that lasts is of use from whenever it runs.
+  const auto lasts =
+      std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
+                  [](const StepSpec& step) { return step.long_running; });
+  if (lasts || rank.urgency > -kEstimateTolerance * left) {
     rank.tier = JobTier::kInTime;
     return rank;
   }
   rank.tier =
       age + left < kLatestUse * objective ? JobTier::kLate : JobTier::kExpired;
-  rank.urgency = WorkLeft(job, estimates);
+  rank.urgency = WorkLeft(job, steps, estimates);
   return rank;
 }
 
--- a/Libraries/LibDispatch/job_order.h
+++ b/Libraries/LibDispatch/job_order.h
@@ -40,15 +40,17 @@
                                  const schedule::RunTimeEstimate& estimates)
     -> core::Millis;
 
-/// @return the longest chain of expected run times.
+/// @return the longest chain of expected run times in one occurrence.
 /// @param whole also counts the steps that are done.
 [[nodiscard]] auto LongestChainMs(const Job& job,
+                                  std::int64_t occurrence,
                                   const schedule::RunTimeEstimate& estimates,
                                   bool whole) -> core::Millis;
 
-/// Ranks a job.
+/// Ranks one occurrence of a job.
 /// @param now since the Unix epoch.
 [[nodiscard]] auto RankOf(const Job& job,
+                          std::int64_t occurrence,
                           const QueuePolicy& policy,
                           const schedule::RunTimeEstimate& estimates,
                           bool guaranteed,
