LibDispatch: Move runs that cannot end before their worker leaves

Cause: a draining worker kept its runs until it left and took them along; what they had done since their last checkpoint was lost, and their tasks waited for the worker to be gone.

A run that saves its progress now works until a second before the worker leaves and goes on elsewhere from there; one that does not begins again as soon as its pace shows that it cannot end in time; one that can end stays. A gang moves as a whole. The new event run_moved tells it, and worker_listed is also written when a worker begins or ceases to drain.

--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -48,6 +48,7 @@
   kClaimFailed = 327,
   kTermResigned = 328,
   kHolderChanged = 329,
+  kRunMoved = 330,
   kRowEdited = 400,
   kRoutesTaken = 401,
   kRoutesRejected = 402,
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -99,10 +99,11 @@
         sessions_.try_emplace(info.id, info, settings_, lapse_floor_);
     auto& session = found->second;
     const auto old_life = session.info().life;
+    const auto was_draining = !is_new && session.info().draining;
     for (const auto& ended : session.Describe(info, now.steady)) {
       Apply(info.id, ended, now);
     }
-    if (is_new || old_life != info.life) {
+    if (is_new || old_life != info.life || was_draining != info.draining) {
       AddNote(core::Event::kWorkerListed, {{"worker", info.id},
                                            {"life", info.life},
                                            {"rack", info.rack},
@@ -391,6 +392,7 @@
     }
   }
   StopHungRuns(now);
+  StopRunsOfLeaving(now);
   if (now.steady >= next_prune_at_) {
     next_prune_at_ = now.steady + kPrunePeriodMs;
     book_.Prune(now.wall - kStatusMargin * settings_.status_ms);
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -142,6 +142,15 @@
 
   auto Tick(Moment now) -> void;
   auto StopHungRuns(Moment now) -> void;
+  /// @return when a run is expected to end, on the steady clock.
+  auto ExpectedEndOf(const Run& run,
+                     const Job& job,
+                     const StepSpec& spec,
+                     Moment now) const -> core::Millis;
+  /// @return whether a run on a worker that leaves is better stopped now.
+  auto MustLeaveNow(const Run& run, core::Millis leaves_at, Moment now) const
+      -> bool;
+  auto StopRunsOfLeaving(Moment now) -> void;
   auto Plan(Moment now) -> void;
   auto CoveredJobs() const -> std::map<std::string, bool>;
   auto ViewFleet(const std::map<std::string, bool>& covered, Moment now)
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -9,9 +9,6 @@
 
 /// Pause between two plans while nothing changes.
 constexpr core::Millis kPlanPeriodMs = 250;
-/// A run whose percentage stands still for two looks is hung: at a seventh of
-/// the usual speed the longest runs of our users gain a percent in 800 ms.
-constexpr core::Millis kHungMs = 2000;
 /// Room that is being made for guaranteed work is given this long.
 constexpr core::Millis kEvictionMs = 800;
 /// Room that opens by itself within this span, about as long as a stop takes,
@@ -22,7 +19,6 @@
 /// Weight of an accelerator against a core in work that is thrown away.
 constexpr double kCoresPerAccelerator = 8;
 constexpr double kMillicoresPerCore = 1000;
-constexpr double kWholePercent = 100;
 
 auto WeightOf(const Resources& demand) -> double {
   return static_cast<double>(demand.millicores) / kMillicoresPerCore +
@@ -31,40 +27,6 @@
 
 }  // namespace
 
-auto Dispatcher::StopHungRuns(Moment now) -> void {
-  std::vector<TaskId> hung;
-  for (const auto& [id, session] : sessions_) {
-    for (const auto& [task, run] : session.runs()) {
-      const auto* job = book_.Find(task.job);
-      if (run.phase == RunPhase::kRunning && run.percent < kWholePercent &&
-          session.is_answering() && now.steady - run.moved_at > kHungMs &&
-          job != nullptr && !IsEnded(job->phase)) {
-        hung.push_back(task);
-      }
-    }
-  }
-  for (const auto& id : hung) {
-    auto* job = book_.Find(id.job);
-    auto* step = job->FindStep(id);
-    const auto& spec = job->SpecOf(*step);
-    auto* task = job->FindTask(id);
-    if (task->phase != TaskPhase::kPlaced || spec.long_running) {
-      continue;
-    }
-    step->tasks[spec.gang ? 0 : static_cast<std::size_t>(id.index)]
-        .avoid.insert(task->worker);
-    if (!spec.gang) {
-      // In a gang all members stand still, whichever of them hangs.
-      health_.Hung(task->worker, now.steady);
-    }
-    AddNote(core::Event::kRunHung, {{"job", id.job},
-                                    {"task", id.index},
-                                    {"attempt", task->attempt},
-                                    {"worker", task->worker}});
-    StopRun(id, now);
-  }
-}
-
 auto Dispatcher::Plan(Moment now) -> void {
   next_plan_at_ = now.steady + kPlanPeriodMs;
   const auto covered = CoveredJobs();
@@ -169,14 +131,7 @@
   }
   const auto& spec = job->SpecOf(*step);
   const auto elapsed = run.started_at ? now.steady - *run.started_at : 0;
-  const auto expected = ExpectedRunMs(*job, spec, estimates_);
-  if (run.percent > 0 && elapsed > 0) {
-    seated.expected_end +=
-        static_cast<core::Millis>(static_cast<double>(elapsed) *
-                                  (kWholePercent - run.percent) / run.percent);
-  } else {
-    seated.expected_end += std::max<core::Millis>(expected - elapsed, 0);
-  }
+  seated.expected_end = ExpectedEndOf(run, *job, spec, now);
   const auto members = spec.gang ? static_cast<double>(spec.tasks) : 1.0;
   const auto lost =
       spec.checkpoints ? std::min(elapsed, settings_.checkpoint_ms) : elapsed;
--- a/Libraries/LibDispatch/run.h
+++ b/Libraries/LibDispatch/run.h
@@ -43,7 +43,9 @@
   /// When the worker confirmed the start or the stop.
   std::optional<core::Millis> started_at;
   std::optional<core::Millis> stopped_at;
+  /// Share of the work that was done, and when it was told.
   double percent = 0;
+  core::Millis told_at = 0;
   /// When the percentage last rose.
   core::Millis moved_at = 0;
 };
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -34,6 +34,7 @@
   listed_ = true;
   if (info.life == info_.life) {
     info_ = info;
+    NoteLeaving(now);
     return lost;
   }
   // Only a look tells in which life a run is. A start that no look has shown
@@ -68,6 +69,16 @@
   return lost;
 }
 
+auto WorkerSession::NoteLeaving(core::Millis now) -> void {
+  if (!info_.draining) {
+    leaves_at_.reset();
+    return;
+  }
+  // A listing that is read again unchanged must not put the time off.
+  const auto told = now + info_.leaves_in_ms;
+  leaves_at_ = std::min(leaves_at_.value_or(told), told);
+}
+
 auto WorkerSession::Add(Run run) -> void {
   used_ += run.demand;
   const auto task = run.task;
@@ -366,6 +377,9 @@
       run.started_at = run.started_at.value_or(sent_at);
       run.moved_at = now;
     }
+    if (row.percent >= run.percent) {
+      run.told_at = now;
+    }
     if (row.percent > run.percent) {
       run.percent = row.percent;
       run.moved_at = now;
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -87,6 +87,11 @@
     return listed_ && greeted_ && !info_.draining && silent_looks_ == 0 &&
            strays_.empty();
   }
+  /// @return the point on the steady clock until which a draining worker
+  ///     stays at least; nothing for one that does not drain.
+  [[nodiscard]] auto leaves_at() const -> std::optional<core::Millis> {
+    return leaves_at_;
+  }
   /// @return whether the newest look was answered.
   [[nodiscard]] auto is_answering() const -> bool {
     return greeted_ && silent_looks_ == 0;
@@ -109,6 +114,7 @@
   };
   using StrayKey = std::pair<TaskId, std::int64_t>;
 
+  auto NoteLeaving(core::Millis now) -> void;
   auto Erase(const TaskId& task, RunEnd how) -> EndedRun;
   auto Grant(core::Millis now) -> core::Millis;
   [[nodiscard]] auto CallOf(core::Millis now) const -> WorkerCall;
@@ -131,6 +137,7 @@
   DispatchSettings settings_;
   core::Millis lapse_floor_;
   bool listed_ = true;
+  std::optional<core::Millis> leaves_at_;
   /// Has answered a look of this holder in this life.
   bool greeted_ = false;
   WorkerClock clock_;
