--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -174,13 +174,88 @@
   EXPECT_EQ(http.header("retry-after"), "2");
 }
 
-TEST(NodeFile, NamesKeyAndLineOfABadValue) {
+auto ReadNodeText(const std::string& text, core::Reason& reason)
+    -> std::optional<entry::EntrySettings> {
   const auto path = testing::TempDir() + "kcm-node.toml";
-  std::ofstream(path) << "node_name = \"n\"\nzone = 7\n";
+  std::ofstream(path) << text;
+  return ReadNodeFile(path, reason);
+}
+
+constexpr auto kNodeText = R"(node_name = "n"
+zone = "z"
+region = "r"
+ip = "127.0.0.1"
+seeds = ["127.0.0.2:7000"]
+[listen]
+front = "127.0.0.1:7001"
+ready = "127.0.0.1:7002"
+control = "127.0.0.1:7000"
+[platform]
+address = "127.0.0.1:7003"
+[bounds]
+grace_s = 6
+max_hold_ms = 6000
+gang_timeout_ms = 3000
+reclaim_ms = 2700
+status_s = 120
+checkpoint_s = 2
+)";
+
+/// A line of the settings file put in place of another.
+struct NodeCase {
+  const char* name;
+  const char* line;
+  const char* replacement;
+  /// What the refusal names.
+  const char* field;
+  const char* place;
+};
+
+class NodeFile : public testing::TestWithParam<NodeCase> {};
+
+TEST_P(NodeFile, NamesKeyAndLineOfABadValue) {
+  std::string text = kNodeText;
+  const std::string line = GetParam().line;
+  text.replace(text.find(line), line.size(), GetParam().replacement);
+  core::Reason reason;
+  EXPECT_FALSE(ReadNodeText(text, reason));
+  EXPECT_EQ(reason.field, GetParam().field);
+  EXPECT_NE(reason.message.find(GetParam().place), std::string::npos)
+      << reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines,
+    NodeFile,
+    testing::Values(
+        NodeCase{"WrongType", "zone = \"z\"", "zone = 7", "zone", "line 2"},
+        NodeCase{"Missing", "region = \"r\"", "", "region", "is missing"},
+        NodeCase{"Negative", "grace_s = 6", "grace_s = -1", "bounds.grace_s",
+                 "line 13"},
+        NodeCase{"Infinite", "max_hold_ms = 6000", "max_hold_ms = inf",
+                 "bounds.max_hold_ms", "line 14"},
+        NodeCase{"TooLarge", "status_s = 120", "status_s = 1e300",
+                 "bounds.status_s", "line 17"},
+        NodeCase{"NoNumber", "reclaim_ms = 2700", "reclaim_ms = nan",
+                 "bounds.reclaim_ms", "line 16"},
+        NodeCase{"NoPort", "address = \"127.0.0.1:7003\"",
+                 "address = \"127.0.0.1\"", "platform.address", "port"},
+        NodeCase{"NotToml", "[bounds]", "[bounds", "", "line 12"}),
+    [](const auto& info) { return info.param.name; });
+
+// A settings file with one place damaged is read, or refused with a reason.
+RC_GTEST_PROP(NodeFileRandom, IsReadOrRefusedWithAReason, ()) {
+  std::string text = kNodeText;
+  const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto size = *rc::gen::inRange<std::size_t>(0, 8);
+  text.replace(at, size, *rc::gen::arbitrary<std::string>());
   core::Reason reason;
-  EXPECT_FALSE(ReadNodeFile(path, reason));
-  EXPECT_EQ(reason.field, "zone");
-  EXPECT_NE(reason.message.find("line 2"), std::string::npos);
+  const auto settings = ReadNodeText(text, reason);
+  RC_ASSERT(settings.has_value() || !reason.message.empty());
+  if (settings) {
+    RC_ASSERT(settings->grace_ms >= 0);
+    RC_ASSERT(settings->dispatch.max_lease_ms > 0);
+  }
 }
 
 // Whatever bytes come in, the decoders answer and do not crash.
