LibDispatch: Take a look as proof only after the run was known to exist

A run that a waiting look showed counted as seen when that look was sent, up to a second before its answer. A look sent in between, answered by the worker before the start and overtaken by the answer of the waiting one, then proved the run gone. It is now seen when the answer arrives, and only a look sent later proves anything.

Ruled out: the stop of the same run (it can have begun at 34.77 s at the earliest, after the second start); starts reported as never sent, as evhttp says so only where no connection was made.

--- a/Libraries/LibDispatch/run.h
+++ b/Libraries/LibDispatch/run.h
@@ -40,8 +40,12 @@
   bool listed = false;
   bool call_in_flight = false;
   core::Millis next_call_at = 0;
-  /// When the worker confirmed the start or the stop.
+  /// When the run began, as far as is known.
   std::optional<core::Millis> started_at;
+  /// When it became known here that the run exists, and when the worker
+  /// confirmed the stop. Only a look sent after that proves that it is gone:
+  /// answers overtake each other.
+  std::optional<core::Millis> seen_at;
   std::optional<core::Millis> stopped_at;
   /// Share of the work that was done, and when it was told.
   double percent = 0;
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -62,6 +62,7 @@
     run.call_in_flight = false;
     run.listed = false;
     run.started_at.reset();
+    run.seen_at.reset();
     run.stopped_at.reset();
     run.next_call_at = 0;
     Add(std::move(run));
@@ -224,6 +225,7 @@
   switch (result.end) {
     case CallEnd::kDone:
       run.started_at = now;
+      run.seen_at = now;
       run.moved_at = now;
       if (run.phase == RunPhase::kStarting) {
         run.phase = RunPhase::kRunning;
@@ -344,7 +346,7 @@
     case RunPhase::kStarting:
       return false;
     case RunPhase::kRunning:
-      return run.started_at && sent_at > *run.started_at;
+      return run.seen_at && sent_at > *run.seen_at;
     case RunPhase::kStopping:
       // The look that follows a stop is sent in the same millisecond.
       return run.stopped_at && sent_at >= *run.stopped_at;
@@ -375,6 +377,7 @@
     if (run.phase == RunPhase::kAdopted || run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
       run.started_at = run.started_at.value_or(sent_at);
+      run.seen_at = now;
       run.moved_at = now;
     }
     if (row.percent >= run.percent) {
