LibDispatch: Serve owed work in the order in which its time runs out

Owed jobs were ordered by the time they could wait for their own objective, so shorter owed jobs that came later took single workers out of the room that was being made for the gang; the rest of that room was no longer kept for it and went to other work, and a new eviction had to wait 800 ms, three times over.

Owed work now goes by its acceptance, from which the bound counts, and room that was taken from it is made again at once.

Dispatcher.OlderOwedWorkKeepsTheRoomMadeForIt failed before. The fake workers can now take time to stop, as real ones do; half of the random histories have that.

--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -288,8 +288,10 @@
   const auto& spec = unit.job->SpecOf(*unit.step);
   auto seats = FindSeatsAfterStops(fleet, request);
   auto& until = evicting_until_[unit.job->IdOf(*unit.step, 0)];
+  // Room of an earlier stop that something else took from owed work is made
+  // again at once.
   if (static_cast<std::int64_t>(seats.size()) < request.tasks &&
-      now.steady >= until) {
+      (request.guaranteed || now.steady >= until)) {
     const auto plan = FindEvictions(fleet, request);
     const auto own_work = WeightOf(spec.demand) *
                           static_cast<double>(request.tasks * request.run_ms);
--- a/Libraries/LibDispatch/job_order.cc
+++ b/Libraries/LibDispatch/job_order.cc
@@ -88,7 +88,9 @@
   rank.accepted_at = wanted_at;
   rank.urgency = objective - age - left;
   if (guaranteed) {
+    // Owed work has to begin within a fixed span of its acceptance.
     rank.tier = JobTier::kGuaranteed;
+    rank.urgency = static_cast<double>(wanted_at);
     return rank;
   }
   // A task that lasts is of use from whenever it runs.
--- a/Libraries/LibDispatch/job_order.h
+++ b/Libraries/LibDispatch/job_order.h
@@ -26,7 +26,8 @@
 struct JobRank {
   JobTier tier = JobTier::kInTime;
   std::int64_t priority = 0;
-  /// Span for which the job can wait, or the work left of a late one.
+  /// Span for which the job can wait, or the work left of a late one; for owed
+  /// work when it was wanted.
   double urgency = 0;
   core::Millis accepted_at = 0;
 
--- a/Tests/LibDispatch/dispatcher_random_test.cc
+++ b/Tests/LibDispatch/dispatcher_random_test.cc
@@ -16,8 +16,8 @@
 /// holders and cancelled jobs.
 struct DayKind {
   const char* name;
-  /// Workers whose runs fail, steps that save their progress, and jobs that are
-  /// refused while the store is away.
+  /// Workers whose runs fail and take time to stop, steps that save their
+  /// progress, and jobs that are refused while the store is away.
   bool failures;
 };
 
@@ -39,6 +39,9 @@
   DispatchWorld world(seed);
   world.verbose = verbose;
   world.AddWorkers(12, 4);
+  for (auto& [id, worker] : world.workers) {
+    worker.set_stop_grace(kind.failures ? 150 : 0);
+  }
   world.faults.lost = pick(0, 2) * 0.1;
   world.faults.late = pick(0, 2) * 0.05;
   const std::vector<std::string> queues = {"urgent", "batch", "idle"};
--- a/Tests/LibDispatch/dispatcher_test.cc
+++ b/Tests/LibDispatch/dispatcher_test.cc
@@ -136,6 +136,34 @@
 
 // The pattern: a burst of short urgent jobs of an account without a guarantee
 // meets a fleet full of long idle work, which has time to spare.
+// A full fleet, an owed gang of half of it and a stream of small owed jobs
+// behind it (mix, seed 664575389301): the small ones were more urgent and took
+// the room that was being made for the gang, again and again.
+TEST(Dispatcher, OlderOwedWorkKeepsTheRoomMadeForIt) {
+  DispatchWorld world;
+  world.AddWorkers(8, 4);
+  world.SetGuarantees({{"council", 64}});
+  for (auto& [id, worker] : world.workers) {
+    worker.set_stop_grace(200);
+  }
+  for (int number = 0; number < 4; ++number) {
+    world.Submit("batch" + std::to_string(number), "batch",
+                 {DispatchWorld::Step(64, 1, 9000)}, "parks");
+  }
+  world.Run(1000);
+  auto gang = DispatchWorld::Gang(4, 8, 4000);
+  gang.same_rack = true;
+  world.Submit("gang", "urgent", {gang});
+  // What one eviction frees is enough; a second one would follow after 800 ms.
+  for (int small = 0; small < 7; ++small) {
+    world.Run(100);
+    world.Submit("small" + std::to_string(small), "urgent",
+                 {DispatchWorld::Step(1, 8, 600)});
+  }
+  EXPECT_EQ(world.RunsOf("gang"), 4);
+  EXPECT_EQ(world.broken, std::vector<std::string>{});
+}
+
 TEST(Dispatcher, UrgentWorkTakesCheapRoomFromWorkThatCanWait) {
   DispatchWorld world;
   world.AddWorkers(4);
--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
   core::Millis worked_ms = 0;
   core::Millis resumed_ms = 0;
   bool hangs = false;
+  /// When a stop takes effect; nothing before the stop.
+  std::optional<core::Millis> stops_at;
 };
 
 /// @return what the checkpoints of a task begin with.
@@ -56,6 +59,8 @@
   }
   [[nodiscard]] auto up() const -> bool { return up_; }
   auto set_up(bool up) -> void { up_ = up; }
+  /// A stop that takes time keeps the run's room until then.
+  auto set_stop_grace(core::Millis grace) -> void { stop_grace_ms_ = grace; }
   auto set_speed(double speed) -> void { speed_ = speed; }
 
   /// All that ran is lost and the worker comes back under its id.
@@ -115,7 +120,7 @@
       return false;
     }
     used_[call.task] = work.demand;
-    FakeRun run{call.task, call.attempt, now, work, 0, 0, false};
+    FakeRun run{call.task, call.attempt, now, work, 0, 0, false, {}};
     if (const auto at = call.checkpoint.rfind('/'); at != std::string::npos) {
       run.resumed_ms = std::stoll(call.checkpoint.substr(at + 1));
       run.worked_ms = run.resumed_ms;
@@ -138,7 +143,11 @@
     closed = std::max(closed, call.attempt);
     const auto found = runs_.find(call.task);
     if (found != runs_.end() && found->second.attempt == call.attempt) {
-      End(call.task, RunEnd::kStopped);
+      if (stop_grace_ms_ == 0) {
+        End(call.task, RunEnd::kStopped);
+      } else if (!found->second.stops_at) {
+        found->second.stops_at = now + stop_grace_ms_;
+      }
     }
     result.end = CallEnd::kDone;
     return result;
@@ -193,6 +202,10 @@
       if (Clock(now) > lease_until_) {
         ends.emplace_back(live, RunEnd::kLapsed);
         End(task, RunEnd::kLapsed);
+      } else if (live.stops_at) {
+        if (now >= *live.stops_at) {
+          End(task, RunEnd::kStopped);
+        }
       } else if (!live.hangs && may_work(live)) {
         live.worked_ms +=
             static_cast<core::Millis>(static_cast<double>(span) * speed_);
@@ -265,6 +278,7 @@
   core::Millis lease_until_ = 0;
   core::Millis born_at_ = 0;
   double speed_ = 1;
+  core::Millis stop_grace_ms_ = 0;
   bool fails_ = false;
   bool up_ = true;
 };
