--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -219,7 +219,11 @@
       (unit.rank.tier == JobTier::kInTime && unit.rank.priority == 0);
   const auto future =
       spec.gang || is_urgent ? FindFutureSeats(fleet, request) : std::nullopt;
-  const auto opens_soon = future && future->at - now.steady <= kNaturalEndMs;
+  // Runs may be overdue again and again; owed work waits for them only once.
+  const auto may_wait = unit.rank.tier != JobTier::kGuaranteed ||
+                        now.wall - unit.rank.accepted_at <= kNaturalEndMs;
+  const auto opens_soon =
+      may_wait && future && future->at - now.steady <= kNaturalEndMs;
   if (is_urgent && !opens_soon && Evict(unit, request, fleet, now)) {
     return;
   }
