--- a/Tests/LibDispatch/dispatcher_test.cc
+++ b/Tests/LibDispatch/dispatcher_test.cc
@@ -136,6 +136,24 @@
 
 // The pattern: a burst of short urgent jobs of an account without a guarantee
 // meets a fleet full of long idle work, which has time to spare.
+// Workers that turn slow near the end of their runs (quiet-1, seed
+// 878900981145): the runs were expected to end any moment, and owed work waited
+// for them instead of making room.
+TEST(Dispatcher, OwedWorkDoesNotWaitLongForRunsThatAreOverdue) {
+  DispatchWorld world;
+  world.AddWorkers(4);
+  world.SetGuarantees({{"council", 32}});
+  world.Submit("slow", "batch", {DispatchWorld::Step(32, 1, 4000)}, "parks");
+  world.Run(4300);
+  for (auto& [id, worker] : world.workers) {
+    worker.set_speed(0.1);
+  }
+  world.Run(500);
+  ASSERT_EQ(world.RunsOf("slow"), 32);
+  world.Submit("owed", "urgent", {DispatchWorld::Gang(4, 8, 1000)});
+  EXPECT_TRUE(world.RunUntil([&] { return world.RunsOf("owed") == 4; }, 600));
+}
+
 // A full fleet, an owed gang of half of it and a stream of small owed jobs
 // behind it (mix, seed 664575389301): the small ones were more urgent and took
 // the room that was being made for the gang, again and again.
