--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -1,3 +1,5 @@
+// Which waiting work gets which room.
+
 #include <algorithm>
 #include <utility>
 
--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -1,3 +1,5 @@
+// Which runs are better stopped: hung ones, and those of leaving workers.
+
 #include <algorithm>
 
 #include "LibDispatch/dispatcher.h"
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -102,6 +102,9 @@
   }
 
  private:
+  /// Span after which a call without an answer is repeated: a few round trips.
+  static constexpr core::Millis kRepeatMs = 100;
+
   struct Note {
     std::uint64_t batch = 0;
     std::int64_t number = 0;
