--- /dev/null
+++ b/Services/Gateway/request_outcome.cc
@@ -0,0 +1,160 @@
+// What is sent to a minion, and what its answer means for the caller.
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/clock.h"
+#include "LibCore/event.h"
+#include "LibCore/identity.h"
+#include "LibNet/http_status.h"
+#include "request_api.h"
+
+namespace kcm::gateway {
+
+namespace {
+
+/// Attempts of one request, the first one included.
+constexpr int kMaxAttempts = 4;
+
+}  // namespace
+
+auto RequestApi::SendTo(const OpenPtr& open, const request::Route& route)
+    -> void {
+  const auto now = core::MonotonicNow();
+  if (open->attempts++ == 0) {
+    retries_.OnFirstAttempt();
+  }
+  open->tried.insert(route.minion);
+  const auto& request = open->call.request;
+  platform::MinionRequest outgoing;
+  outgoing.hop_id = core::MakeId("hop");
+  outgoing.account = open->account();
+  outgoing.idempotency_key = open->key;
+  open->queue_span->End();
+  const auto span = std::make_shared<node::HopSpan>(
+      node_.tracer(), request.header("traceparent"), "minion");
+  span->Set("minion", route.minion);
+  outgoing.traceparent = span->traceparent();
+  outgoing.content_type = request.header("content-type");
+  outgoing.body = request.body;
+  outgoing.timeout_ms = std::max<core::Millis>(route.until - now, 1);
+  node_.metrics().Count("attempts_sent");
+  SpendLink(*open, route, outgoing.body.size());
+  minions_.Send(
+      watch_.AddressOf(route.minion), outgoing,
+      [this, open, route, span](const platform::MinionResult& result) {
+        span->End();
+        OnResult(open, route, result);
+      });
+}
+
+auto RequestApi::NoteHealth(const request::Route& route,
+                            const platform::MinionResult& result) -> void {
+  const auto now = core::MonotonicNow();
+  if (result.leaving) {
+    watch_.OnLeaving(route.minion);
+  }
+  switch (result.outcome) {
+    case platform::MinionOutcome::kAnswered:
+      router_.OnAnswered(route, now);
+      return;
+    case platform::MinionOutcome::kRefused:
+      router_.OnRefused(route, now);
+      return;
+    case platform::MinionOutcome::kNeverSent:
+    case platform::MinionOutcome::kFailed:
+      router_.OnFailed(route, now, false);
+      return;
+    case platform::MinionOutcome::kUnknown:
+      router_.OnFailed(route, now, true);
+      return;
+  }
+}
+
+auto RequestApi::OnResult(const OpenPtr& open,
+                          const request::Route& route,
+                          const platform::MinionResult& result) -> void {
+  NoteHealth(route, result);
+  SpendLink(*open, route, result.body.size());
+  switch (result.outcome) {
+    case platform::MinionOutcome::kAnswered:
+      Finish(open, {net::kHttpOk,
+                    {{"content-type", result.content_type},
+                     {"x-conclusion",
+                      std::string(core::NameOf(core::Conclusion::kDone))}},
+                    result.body});
+      break;
+    case platform::MinionOutcome::kRefused:
+    case platform::MinionOutcome::kNeverSent:
+      Retry(open, core::ErrorKind::kNoEndpoint);
+      break;
+    case platform::MinionOutcome::kFailed:
+      open->so_far = std::max(open->so_far, core::Conclusion::kFailed);
+      Retry(open, core::ErrorKind::kEndpointFailed);
+      break;
+    case platform::MinionOutcome::kUnknown:
+      core::LogEvent(core::Event::kRequestUnknown, {{"minion", route.minion}});
+      open->so_far = core::Conclusion::kUnknown;
+      open->concurrency_free_at = route.free_by;
+      Retry(open, core::ErrorKind::kOutcomeUnknown);
+      break;
+  }
+  DispatchQueue();
+}
+
+auto RequestApi::ReleaseConcurrency(OpenRequest& open) -> void {
+  const auto free_at = std::exchange(open.concurrency_free_at, 0);
+  if (const auto use = std::exchange(open.concurrency, std::nullopt)) {
+    shares_.ledger().Release(*use, core::MonotonicNow(), free_at);
+  }
+}
+
+auto RequestApi::Retry(const OpenPtr& open, core::ErrorKind otherwise) -> void {
+  const bool safe =
+      open->idempotent || otherwise == core::ErrorKind::kNoEndpoint;
+  if (safe && open->attempts < kMaxAttempts && retries_.TakeRetry()) {
+    core::LogEvent(core::Event::kRequestRetried, {{"attempt", open->attempts}});
+    node_.metrics().Count("attempts_retried");
+    ReleaseConcurrency(*open);
+    Enqueue(open);
+    return;
+  }
+  Fail(open, otherwise, "The minions tried gave no answer.");
+}
+
+auto RequestApi::Finish(const OpenPtr& open, net::HttpAnswer answer) -> void {
+  ReleaseConcurrency(*open);
+  const auto request_id = open->call.request.header("x-request-id");
+  if (!request_id.empty()) {
+    answer.headers["x-request-id"] = request_id;
+  }
+  if (!open->intent.empty()) {
+    intents_.Resolve(*open, answer);
+  }
+  node_.metrics().Count("requests_answered", "conclusion",
+                        answer.header("x-conclusion"));
+  open->call.reply.Send(answer);
+  open_.erase(open->id);
+}
+
+auto RequestApi::Fail(const OpenPtr& open,
+                      core::ErrorKind kind,
+                      const std::string& message) -> void {
+  const auto* answer = &core::AnswerOf(kind);
+  if (answer->conclusion == core::Conclusion::kNotRun &&
+      open->so_far != core::Conclusion::kNotRun) {
+    // An attempt may have run, whatever ended the last one.
+    kind = open->so_far == core::Conclusion::kFailed
+               ? core::ErrorKind::kEndpointFailed
+               : core::ErrorKind::kOutcomeUnknown;
+    answer = &core::AnswerOf(kind);
+  }
+  node_.metrics().Count("requests_failed", "kind", std::string(answer->name));
+  Finish(open,
+         {answer->http_status,
+          {{"content-type", "application/json"},
+           {"x-conclusion", std::string(core::NameOf(answer->conclusion))}},
+          core::ToErrorBody({kind, "", message}).dump() + "\n"});
+}
+
+}  // namespace kcm::gateway
--- a/Tests/LibDispatch/dispatch_world.h
+++ b/Tests/LibDispatch/dispatch_world.h
@@ -14,6 +14,7 @@
 
 #include "LibDispatch/dispatcher.h"
 #include "fake_worker.h"
+#include "promise_check.h"
 
 namespace kcm::dispatch {
 
@@ -93,21 +94,21 @@
   auto Submit(JobSpec spec) -> JobView {
     spec.payload = "work";
     spec.policy.service = "pool";
-    submitted[spec.id] = spec;
+    promises.OnSubmit(spec);
     return dispatcher_->Submit(spec, Now());
   }
 
   auto Cancel(const std::string& id) -> void {
     const auto view = dispatcher_->Cancel(id, Now());
     if (view && view->phase == JobPhase::kCancelled) {
-      unstored_cancels_[id] = view->batch;
+      promises.OnCancel(id, view->batch);
     }
   }
 
   /// Refuses a job that is not on its way to the store.
   auto Withdraw(const std::string& id) -> void {
     if (!storing_ && dispatcher_->Withdraw(id, Now())) {
-      refused.insert(id);
+      promises.OnRefused(id);
     }
   }
 
@@ -125,7 +126,7 @@
     dispatcher_->Recover(rows, now + lapse_after);
     dispatcher_->SetQueues(Queues());
     dispatcher_->SetGuarantees(guarantees);
-    unstored_cancels_.clear();
+    promises.OnNewHolder();
   }
 
   auto SetGuarantees(std::map<std::string, std::int64_t> owed) -> void {
@@ -176,18 +177,11 @@
   /// Workers that the platform lists no more, and those that do not answer.
   std::set<std::string> unlisted;
   std::set<std::string> cut;
-  std::map<std::string, JobSpec> submitted;
-  /// Jobs whose callers were told that they do not run.
-  std::set<std::string> refused;
   std::map<std::string, std::string> stored_rows;
   std::map<std::string, std::int64_t> guarantees;
-  std::map<TaskId, int> starts;
-  std::map<TaskId, int> failures;
-  std::set<TaskId> done;
   /// Members of gangs that waited in vain for the others.
   int alone = 0;
-  /// Promises that were broken, in words.
-  std::vector<std::string> broken;
+  PromiseCheck promises{Queues()};
   /// Prints what the dispatcher decides.
   bool verbose = false;
   /// Told of each call before it is delivered.
@@ -221,7 +215,9 @@
     now += kStepMs;
     Work();
     for (auto& [id, worker] : workers) {
-      TakeNoted(worker);
+      for (const auto& end : worker.TakeNoted()) {
+        promises.OnNoted(end, now);
+      }
     }
     for (std::size_t index = 0; index < due_.size();) {
       if (due_[index].at > now) {
@@ -240,7 +236,7 @@
         on_call(call);
       }
       if (const auto* start = std::get_if<StartCall>(&call.what)) {
-        CheckOrder(*start);
+        promises.OnOrder(*start, now);
       }
       Deliver(call);
     }
@@ -248,7 +244,7 @@
     for (const auto& note : dispatcher_->TakeNotes()) {
       if (note.event == core::Event::kJobEnded &&
           note.fields.at("status") == core::NameOf(JobPhase::kFailed)) {
-        CheckFailedJob(note.fields.at("job"));
+        promises.OnJobFailed(note.fields.at("job"), now);
       }
       if (verbose) {
         std::cout << now << " " << core::NameOf(note.event) << " "
@@ -266,7 +262,7 @@
       }
     }
     const auto is_whole = [&](const FakeRun& run) {
-      const auto& step = SpecOf(run.task);
+      const auto& step = promises.SpecOf(run.task);
       return !step.gang ||
              present[{run.task.job, run.task.step, run.attempt}] == step.tasks;
     };
@@ -292,10 +288,6 @@
     }
   }
 
-  [[nodiscard]] auto SpecOf(const TaskId& task) const -> const StepSpec& {
-    return submitted.at(task.job).steps[static_cast<std::size_t>(task.step)];
-  }
-
   auto List() -> void {
     std::vector<WorkerInfo> listed;
     for (const auto& [id, worker] : workers) {
@@ -329,11 +321,7 @@
               }
             }
             dispatcher_->Stored(batch.number);
-            for (const auto& [job, number] : unstored_cancels_) {
-              if (number <= batch.number) {
-                cancelled_.insert(job);
-              }
-            }
+            promises.OnStored(batch.number);
           });
   }
 
@@ -409,17 +397,17 @@
     auto& worker = workers.at(call.worker);
     CallResult result;
     if (const auto* start = std::get_if<StartCall>(&call.what)) {
-      const auto& spec = submitted.at(start->task.job);
+      const auto& spec = promises.submitted.at(start->task.job);
       const auto& step = spec.steps[static_cast<std::size_t>(start->task.step)];
       const auto need =
           needs.contains(spec.id) ? needs.at(spec.id) : step.estimate_ms;
       const auto running = IsRunningAnywhere(start->task);
       const FakeWork work{need, step.demand, step.checkpoints, step.gang};
       if (worker.Start(*start, token, work, now, result)) {
-        CheckStart(*start, step, running);
+        promises.OnStart(*start, running, now);
+      } else if (result.end == CallEnd::kNoRoom) {
+        promises.OnNoRoom(start->task, now);
       }
-      // Not every worker guards its capacity.
-      Require(result.end != CallEnd::kNoRoom, "over the capacity", start->task);
     } else if (const auto* stop = std::get_if<StopCall>(&call.what)) {
       result = worker.Stop(*stop, token, now);
     } else if (const auto* look = std::get_if<LookCall>(&call.what);
@@ -429,103 +417,11 @@
     return result;
   }
 
-  auto Require(bool holds, const std::string& what, const TaskId& task)
-      -> void {
-    if (!holds) {
-      broken.push_back(
-          what + ": " + task.job + "." + std::to_string(task.step) + "." +
-          std::to_string(task.index) + " at " + std::to_string(now));
-    }
-  }
-
-  /// Gangs are counted as a whole, on their first task.
-  [[nodiscard]] auto CountedTask(TaskId task) const -> TaskId {
-    task.index = SpecOf(task).gang ? 0 : task.index;
-    return task;
-  }
-
-  [[nodiscard]] auto MaxAttempts(const TaskId& task) const -> std::size_t {
-    return static_cast<std::size_t>(
-        Queues().at(submitted.at(task.job).queue).max_attempts);
-  }
-
-  /// Checks what a holder knows when it gives the order.
-  auto CheckOrder(const StartCall& start) -> void {
-    const auto& job = submitted.at(start.task.job);
-    Require(start.payload == job.payload, "another payload", start.task);
-    Require(!refused.contains(job.id), "refused", start.task);
-    Require(!cancelled_.contains(job.id), "cancelled", start.task);
-    Require(SpecOf(start.task).long_running ||
-                noted_failures_[CountedTask(start.task)].size() <
-                    MaxAttempts(start.task),
-            "out of attempts", start.task);
-    Require(start.checkpoint.empty() ||
-                start.checkpoint.starts_with(
-                    CheckpointPrefix(CountedTask(start.task))),
-            "a foreign checkpoint " + start.checkpoint, start.task);
-  }
-
-  /// A job fails only when one of its tasks used up its attempts.
-  auto CheckFailedJob(const std::string& job) -> void {
-    const auto used_up =
-        std::any_of(failed_.begin(), failed_.end(), [&](const auto& entry) {
-          return entry.first.job == job &&
-                 entry.second.size() >= MaxAttempts(entry.first);
-        });
-    Require(used_up, "failed with attempts left", {job, 0, 0, 0});
-  }
-
-  auto CheckStart(const StartCall& start, const StepSpec& step, int running)
-      -> void {
-    ++starts[start.task];
-    Require(running == 0, "twice", start.task);
-    Require(!noted_done_.contains(start.task), "after its end", start.task);
-    last_start_[start.task] = now;
-    for (const auto before : step.after) {
-      const auto& earlier =
-          submitted.at(start.task.job).steps[static_cast<std::size_t>(before)];
-      for (std::int64_t index = 0; index < earlier.tasks; ++index) {
-        Require(done.contains(
-                    {start.task.job, start.task.occurrence, before, index}),
-                "out of order", start.task);
-      }
-    }
-  }
-
-  /// Checks ends of which a holder took note, then and before.
-  auto TakeNoted(FakeWorker& worker) -> void {
-    for (const auto& end : worker.TakeNoted()) {
-      if (SpecOf(end.task).long_running) {
-        // It is run again however it ends.
-        continue;
-      }
-      if (end.how == RunEnd::kDone) {
-        noted_done_.insert(end.task);
-        Require(last_start_[end.task] <= ended_at_[{end.task, end.attempt}],
-                "after an end that was noted later", end.task);
-      } else if (end.how == RunEnd::kFailed) {
-        auto& failed = noted_failures_[CountedTask(end.task)];
-        failed[end.attempt] = ended_at_[{end.task, end.attempt}];
-        Require(failed.size() < MaxAttempts(end.task) ||
-                    last_start_[end.task] <= failed.rbegin()->second,
-                "after the last attempt failed", end.task);
-      }
-    }
-  }
-
   auto Note(const FakeRun& run, RunEnd how) -> void {
-    const auto& step = SpecOf(run.task);
-    if (how == RunEnd::kFailed) {
-      ++failures[run.task];
-      failed_[CountedTask(run.task)].insert(run.attempt);
-    }
-    if (step.gang && how != RunEnd::kDone) {
+    promises.OnEnd(run, how, now);
+    if (promises.SpecOf(run.task).gang && how != RunEnd::kDone) {
       BreakGang(run);
     }
-    ended_at_[{run.task, run.attempt}] = now;
-    if (how == RunEnd::kDone) {
-      done.insert(run.task);
-    }
   }
 
   auto BreakGang(const FakeRun& ended) -> void {
@@ -540,17 +436,6 @@
     }
   }
 
-  std::set<TaskId> noted_done_;
-  std::map<TaskId, core::Millis> last_start_;
-  /// When each run ended that ended by itself.
-  std::map<FakeWorker::Key, core::Millis> ended_at_;
-  /// Attempts that failed.
-  std::map<TaskId, std::set<std::int64_t>> failed_;
-  /// Attempts that failed and of which a holder took note, and when they did.
-  std::map<TaskId, std::map<std::int64_t, core::Millis>> noted_failures_;
-  /// Jobs whose cancelling is stored, and the batches of the others.
-  std::set<std::string> cancelled_;
-  std::map<std::string, std::uint64_t> unstored_cancels_;
   std::mt19937 random_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::vector<Due> due_;
--- a/Tests/LibDispatch/dispatcher_kinds_test.cc
+++ b/Tests/LibDispatch/dispatcher_kinds_test.cc
@@ -43,8 +43,8 @@
     EXPECT_GE(start, due);
     EXPECT_LT(start, due + 500);
   }
-  EXPECT_EQ(world.done.size(), 6U);
-  EXPECT_EQ(world.broken, std::vector<std::string>{});
+  EXPECT_EQ(world.promises.done.size(), 6U);
+  EXPECT_EQ(world.promises.broken, std::vector<std::string>{});
 }
 
 // Scheduled times under a queue that is always full: a time that has just come
@@ -95,7 +95,7 @@
   world.Cancel("job");
   EXPECT_TRUE(world.RunUntil([&] { return world.RunsOf("job") == 0; }, 1000));
   EXPECT_EQ(world.PhaseOf("job"), JobPhase::kCancelled);
-  EXPECT_EQ(world.broken, std::vector<std::string>{});
+  EXPECT_EQ(world.promises.broken, std::vector<std::string>{});
 }
 
 auto EndFirstRun(DispatchWorld& world, RunEnd how) -> void {
--- a/Tests/LibDispatch/dispatcher_leave_test.cc
+++ b/Tests/LibDispatch/dispatcher_leave_test.cc
@@ -42,8 +42,8 @@
     return world.PhaseOf("job") == JobPhase::kCompleted;
   };
   EXPECT_TRUE(world.RunUntil(is_done, GetParam().done_within_ms));
-  EXPECT_EQ(world.starts.begin()->second, GetParam().runs);
-  EXPECT_EQ(world.broken, std::vector<std::string>{});
+  EXPECT_EQ(world.promises.starts.begin()->second, GetParam().runs);
+  EXPECT_EQ(world.promises.broken, std::vector<std::string>{});
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/Tests/LibDispatch/dispatcher_random_test.cc
+++ b/Tests/LibDispatch/dispatcher_random_test.cc
@@ -95,16 +95,16 @@
   world.store_up = true;
   world.faults = {};
   const auto all_ended = [&] {
-    return std::all_of(world.submitted.begin(), world.submitted.end(),
-                       [&](const auto& entry) {
+    return std::all_of(world.promises.submitted.begin(),
+                       world.promises.submitted.end(), [&](const auto& entry) {
                          const auto view = world.dispatcher().Find(entry.first);
                          return !view || IsEnded(view->phase);
                        });
   };
   if (!world.RunUntil(all_ended, kHistoryPatience)) {
-    world.broken.emplace_back("a job never ended");
+    world.promises.broken.emplace_back("a job never ended");
   }
-  return world.broken;
+  return world.promises.broken;
 }
 
 constexpr DayKind kPlain = {"Plain", false};
--- a/Tests/LibDispatch/dispatcher_room_test.cc
+++ b/Tests/LibDispatch/dispatcher_room_test.cc
@@ -68,7 +68,7 @@
                  {DispatchWorld::Step(1, 8, 600)});
   }
   EXPECT_EQ(world.RunsOf("gang"), 4);
-  EXPECT_EQ(world.broken, std::vector<std::string>{});
+  EXPECT_EQ(world.promises.broken, std::vector<std::string>{});
 }
 
 TEST(Dispatcher, UrgentWorkTakesCheapRoomFromWorkThatCanWait) {
@@ -95,7 +95,7 @@
   world.Run(3850);
   world.Submit("owed", "urgent", {DispatchWorld::Gang(2, 8, 1000)}, "crew");
   EXPECT_TRUE(world.RunUntil([&] { return world.RunsOf("owed") == 2; }, 1500));
-  for (const auto& [task, count] : world.starts) {
+  for (const auto& [task, count] : world.promises.starts) {
     EXPECT_EQ(count, 1) << task.job;
   }
 }
--- a/Tests/LibDispatch/dispatcher_test.cc
+++ b/Tests/LibDispatch/dispatcher_test.cc
@@ -17,7 +17,7 @@
   world.Submit("job", "batch", {DispatchWorld::Gang(4, 8, 800), second});
   EXPECT_TRUE(world.RunUntil(
       [&] { return world.PhaseOf("job") == JobPhase::kCompleted; }, kPatience));
-  EXPECT_EQ(world.done.size(), 7U);
+  EXPECT_EQ(world.promises.done.size(), 7U);
 }
 
 TEST(Dispatcher, StartsNothingBeforeItsRowsAreStored) {
@@ -26,7 +26,7 @@
   world.store_up = false;
   world.Submit("job", "batch", {DispatchWorld::Step(2, 1, 500)});
   world.Run(3000);
-  EXPECT_TRUE(world.starts.empty());
+  EXPECT_TRUE(world.promises.starts.empty());
   world.store_up = true;
   EXPECT_TRUE(world.RunUntil(
       [&] { return world.PhaseOf("job") == JobPhase::kCompleted; }, kPatience));
@@ -87,7 +87,7 @@
   world.ReplaceHolder();
   EXPECT_TRUE(world.RunUntil(
       [&] { return world.PhaseOf("job") == JobPhase::kCompleted; }, kPatience));
-  for (const auto& [task, count] : world.starts) {
+  for (const auto& [task, count] : world.promises.starts) {
     EXPECT_EQ(count, 1);
   }
 }
@@ -127,7 +127,7 @@
   world.Submit("bad", "urgent", {DispatchWorld::Step(1, 1, 300)});
   EXPECT_TRUE(world.RunUntil(
       [&] { return world.PhaseOf("bad") == JobPhase::kFailed; }, kPatience));
-  EXPECT_EQ(world.starts.begin()->second, 2);
+  EXPECT_EQ(world.promises.starts.begin()->second, 2);
 }
 
 TEST(Dispatcher, AHungRunIsMovedElsewhere) {
--- /dev/null
+++ b/Tests/LibDispatch/promise_check.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibDispatch/job_spec.h"
+#include "LibDispatch/queue_policy.h"
+#include "LibDispatch/worker_call.h"
+#include "fake_worker.h"
+
+namespace kcm::dispatch {
+
+/// Checks what a dispatcher orders against what callers and workers have seen.
+class PromiseCheck {
+ public:
+  explicit PromiseCheck(std::map<std::string, QueuePolicy> queues)
+      : queues_(std::move(queues)) {}
+
+  auto OnSubmit(const JobSpec& spec) -> void { submitted[spec.id] = spec; }
+
+  /// The caller was told that the job does not run.
+  auto OnRefused(const std::string& job) -> void { refused_.insert(job); }
+
+  /// @param batch batch of rows that has to be stored before the caller is
+  ///     told.
+  auto OnCancel(const std::string& job, std::uint64_t batch) -> void {
+    unstored_cancels_[job] = batch;
+  }
+
+  auto OnStored(std::uint64_t batch) -> void {
+    for (const auto& [job, number] : unstored_cancels_) {
+      if (number <= batch) {
+        cancelled_.insert(job);
+      }
+    }
+  }
+
+  /// What the former holder had not stored is void.
+  auto OnNewHolder() -> void { unstored_cancels_.clear(); }
+
+  /// Checks what a holder knows when it gives an order.
+  auto OnOrder(const StartCall& start, core::Millis now) -> void {
+    const auto& task = start.task;
+    const auto& job = submitted.at(task.job);
+    Require(start.payload == job.payload, "another payload", task, now);
+    Require(!refused_.contains(job.id), "refused", task, now);
+    Require(!cancelled_.contains(job.id), "cancelled", task, now);
+    Require(SpecOf(task).long_running ||
+                noted_failures_[CountedTask(task)].size() < MaxAttempts(task),
+            "out of attempts", task, now);
+    Require(
+        start.checkpoint.empty() ||
+            start.checkpoint.starts_with(CheckpointPrefix(CountedTask(task))),
+        "a foreign checkpoint " + start.checkpoint, task, now);
+  }
+
+  /// Checks a start that a worker has begun.
+  /// @param running runs of the task that are at work already.
+  auto OnStart(const StartCall& start, int running, core::Millis now) -> void {
+    const auto& task = start.task;
+    ++starts[task];
+    Require(running == 0, "twice", task, now);
+    Require(!noted_done_.contains(task), "after its end", task, now);
+    last_start_[task] = now;
+    for (const auto before : SpecOf(task).after) {
+      const auto& earlier =
+          submitted.at(task.job).steps[static_cast<std::size_t>(before)];
+      for (std::int64_t index = 0; index < earlier.tasks; ++index) {
+        Require(done.contains({task.job, task.occurrence, before, index}),
+                "out of order", task, now);
+      }
+    }
+  }
+
+  /// A worker had no room for a start; not every one guards its capacity.
+  auto OnNoRoom(const TaskId& task, core::Millis now) -> void {
+    Require(false, "over the capacity", task, now);
+  }
+
+  auto OnEnd(const FakeRun& run, RunEnd how, core::Millis now) -> void {
+    ended_at_[{run.task, run.attempt}] = now;
+    if (how == RunEnd::kDone) {
+      done.insert(run.task);
+    } else if (how == RunEnd::kFailed) {
+      failed_[CountedTask(run.task)].insert(run.attempt);
+    }
+  }
+
+  /// Checks an end of which a holder took note, then and before.
+  auto OnNoted(const EndReport& end, core::Millis now) -> void {
+    if (SpecOf(end.task).long_running) {
+      // It is run again however it ends.
+      return;
+    }
+    const auto ended_at = ended_at_[{end.task, end.attempt}];
+    if (end.how == RunEnd::kDone) {
+      noted_done_.insert(end.task);
+      Require(last_start_[end.task] <= ended_at,
+              "after an end that was noted later", end.task, now);
+    } else if (end.how == RunEnd::kFailed) {
+      auto& failed = noted_failures_[CountedTask(end.task)];
+      failed[end.attempt] = ended_at;
+      Require(failed.size() < MaxAttempts(end.task) ||
+                  last_start_[end.task] <= failed.rbegin()->second,
+              "after the last attempt failed", end.task, now);
+    }
+  }
+
+  /// A job fails only when one of its tasks used up its attempts.
+  auto OnJobFailed(const std::string& job, core::Millis now) -> void {
+    const auto used_up =
+        std::any_of(failed_.begin(), failed_.end(), [&](const auto& entry) {
+          return entry.first.job == job &&
+                 entry.second.size() >= MaxAttempts(entry.first);
+        });
+    Require(used_up, "failed with attempts left", {job, 0, 0, 0}, now);
+  }
+
+  [[nodiscard]] auto SpecOf(const TaskId& task) const -> const StepSpec& {
+    return submitted.at(task.job).steps[static_cast<std::size_t>(task.step)];
+  }
+
+  std::map<std::string, JobSpec> submitted;
+  std::map<TaskId, int> starts;
+  std::set<TaskId> done;
+  /// Promises that were broken, in words.
+  std::vector<std::string> broken;
+
+ private:
+  auto Require(bool holds,
+               const std::string& what,
+               const TaskId& task,
+               core::Millis now) -> void {
+    if (!holds) {
+      broken.push_back(
+          what + ": " + task.job + "." + std::to_string(task.step) + "." +
+          std::to_string(task.index) + " at " + std::to_string(now));
+    }
+  }
+
+  /// Gangs are counted as a whole, on their first task.
+  [[nodiscard]] auto CountedTask(TaskId task) const -> TaskId {
+    task.index = SpecOf(task).gang ? 0 : task.index;
+    return task;
+  }
+
+  [[nodiscard]] auto MaxAttempts(const TaskId& task) const -> std::size_t {
+    const auto& queue = submitted.at(task.job).queue;
+    return static_cast<std::size_t>(queues_.at(queue).max_attempts);
+  }
+
+  std::map<std::string, QueuePolicy> queues_;
+  std::set<std::string> refused_;
+  /// Jobs whose cancelling is stored, and the batches of the others.
+  std::set<std::string> cancelled_;
+  std::map<std::string, std::uint64_t> unstored_cancels_;
+  std::map<TaskId, core::Millis> last_start_;
+  /// When each run ended that ended by itself.
+  std::map<FakeWorker::Key, core::Millis> ended_at_;
+  std::set<TaskId> noted_done_;
+  /// Attempts that failed.
+  std::map<TaskId, std::set<std::int64_t>> failed_;
+  /// Of these, those of which a holder took note, and when they failed.
+  std::map<TaskId, std::map<std::int64_t, core::Millis>> noted_failures_;
+};
+
+}  // namespace kcm::dispatch
