LibDispatch: Name what a rank is ordered by, and log the spare time alone

The rank of owed work had its time of acceptance in the field that job_placed logged as urgency_ms, so the line showed a date there. Order and spare time are two fields now, and the line says spare_ms for all tiers. The order of jobs does not change.

--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -223,7 +223,7 @@
       spec.gang || is_urgent ? FindFutureSeats(fleet, request) : std::nullopt;
   // Runs may be overdue again and again; owed work waits for them only once.
   const auto may_wait = unit.rank.tier != JobTier::kGuaranteed ||
-                        now.wall - unit.rank.accepted_at <= kNaturalEndMs;
+                        now.wall - unit.rank.wanted_at <= kNaturalEndMs;
   const auto opens_soon =
       may_wait && future && future->at - now.steady <= kNaturalEndMs;
   if (is_urgent && !opens_soon && Evict(unit, request, fleet, now)) {
@@ -278,7 +278,7 @@
            {"attempt", step.tasks[unit.tasks[0]].attempt},
            {"first_worker", fleet.slots[seats[0]].info->id},
            {"tier", static_cast<int>(unit.rank.tier)},
-           {"urgency_ms", static_cast<std::int64_t>(unit.rank.urgency)},
+           {"spare_ms", unit.rank.spare_ms},
            {"age_ms", now.wall - job.spec.accepted_at}});
   job.phase = JobPhase::kRunning;
   evicting_until_.erase(job.IdOf(step, 0));
--- a/Libraries/LibDispatch/job_order.cc
+++ b/Libraries/LibDispatch/job_order.cc
@@ -83,27 +83,29 @@
                          static_cast<double>(policy.target_latency_ms);
   const auto wanted_at = std::max(job.spec.accepted_at, steps.front().due_at);
   const auto age = static_cast<double>(now - wanted_at);
+  const auto spare = objective - age - left;
   JobRank rank;
   rank.priority = policy.priority;
-  rank.accepted_at = wanted_at;
-  rank.urgency = objective - age - left;
+  rank.wanted_at = wanted_at;
+  rank.spare_ms = static_cast<core::Millis>(spare);
   if (guaranteed) {
     // Owed work has to begin within a fixed span of its acceptance.
     rank.tier = JobTier::kGuaranteed;
-    rank.urgency = static_cast<double>(wanted_at);
+    rank.order = static_cast<double>(wanted_at);
     return rank;
   }
   // A task that lasts is of use from whenever it runs.
   const auto lasts =
       std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
                   [](const StepSpec& step) { return step.long_running; });
-  if (lasts || rank.urgency > -kEstimateTolerance * left) {
+  if (lasts || spare > -kEstimateTolerance * left) {
     rank.tier = JobTier::kInTime;
+    rank.order = spare;
     return rank;
   }
   rank.tier =
       age + left < kLatestUse * objective ? JobTier::kLate : JobTier::kExpired;
-  rank.urgency = WorkLeft(job, steps, estimates);
+  rank.order = WorkLeft(job, steps, estimates);
   return rank;
 }
 
--- a/Libraries/LibDispatch/job_order.h
+++ b/Libraries/LibDispatch/job_order.h
@@ -26,10 +26,13 @@
 struct JobRank {
   JobTier tier = JobTier::kInTime;
   std::int64_t priority = 0;
-  /// Span for which the job can wait, or the work left of a late one; for owed
-  /// work when it was wanted.
-  double urgency = 0;
-  core::Millis accepted_at = 0;
+  /// The span for which a job in time can wait, the work left of a later one,
+  /// and the time at which owed work was wanted.
+  double order = 0;
+  /// When it was accepted or, on a schedule, due; since the Unix epoch.
+  core::Millis wanted_at = 0;
+  /// Span for which it can wait and still end in time; negative when it cannot.
+  core::Millis spare_ms = 0;
 
   auto operator<=>(const JobRank&) const =
       default;  // NOLINT(modernize-use-nullptr)
