LibDispatch: Measure a hung run on its worker's clock

What callers see: tasks that make progress are stopped and start anew while the holder is behind its load, which adds to the load.

Cause: a run was hung when no poll had shown progress for two seconds of the holder's clock. A holder that handles its workers' answers late sees no progress for as long as it is late.

Fix: the worker's reports carry its clock. A run is hung when two reports that the worker sent more than two seconds apart show the same percentage, however late they are handled; without reports nothing is concluded.

A run that really stands still is found as before (AHungRunIsRestartedOnAnotherWorker).

--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -29,7 +29,7 @@
     for (const auto& [task, run] : session.runs()) {
       const auto* job = job_table_.FindJob(task.job);
       if (run.phase == RunPhase::kRunning && run.percent < kWholePercent &&
-          session.is_answering() && now.steady - run.progressed_at > kHungMs &&
+          session.is_answering() && run.StalledMs() > kHungMs &&
           job != nullptr && !IsEnded(job->phase)) {
         hung.push_back(task);
       }
--- a/Libraries/LibDispatch/run.h
+++ b/Libraries/LibDispatch/run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,8 +51,26 @@
   /// Share of the work that is done, and when it was reported.
   double percent = 0;
   core::Millis reported_at = 0;
-  /// When the percentage last increased.
-  core::Millis progressed_at = 0;
+  /// When the worker sent the newest report, and the first one with the present
+  /// percentage, both on the worker's clock, since the holder may handle
+  /// reports late.
+  core::Millis report_clock = 0;
+  std::optional<core::Millis> progress_clock;
+
+  /// Records a report of the run; one that was overtaken has no effect.
+  /// @param clock_ms when it was sent, on the worker's clock.
+  auto RecordReport(double reported_percent, core::Millis clock_ms) -> void {
+    report_clock = std::max(report_clock, clock_ms);
+    if (!progress_clock || reported_percent > percent) {
+      percent = std::max(percent, reported_percent);
+      progress_clock = clock_ms;
+    }
+  }
+
+  /// @return for how long the reports have shown no progress.
+  [[nodiscard]] auto StalledMs() const -> core::Millis {
+    return progress_clock ? report_clock - *progress_clock : 0;
+  }
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -228,7 +228,9 @@
     case CallEnd::kDone:
       run.started_at = now;
       run.confirmed_at = now;
-      run.progressed_at = now;
+      if (result.clock_ms) {
+        run.RecordReport(0, *result.clock_ms);
+      }
       if (run.phase == RunPhase::kStarting) {
         run.phase = RunPhase::kRunning;
       }
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -103,15 +103,11 @@
       run.phase = RunPhase::kRunning;
       run.started_at = run.started_at.value_or(sent_at);
       run.confirmed_at = now;
-      run.progressed_at = now;
     }
     if (row.percent >= run.percent) {
       run.reported_at = now;
     }
-    if (row.percent > run.percent) {
-      run.percent = row.percent;
-      run.progressed_at = now;
-    }
+    run.RecordReport(row.percent, report.clock_ms);
     if (!row.checkpoint.empty()) {
       run.checkpoint = row.checkpoint;
     }
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -189,6 +189,8 @@
   /// Called for each call before it is delivered.
   std::function<void(const WorkerCall&)> on_call;
   SimulatedFaults faults;
+  /// Time from the arrival of an answer until the holder handles it.
+  core::Millis holder_lag_ms = 0;
   bool store_up = true;
   core::Millis store_ms = 10;
   core::Millis now = 0;
@@ -393,9 +395,10 @@
       });
       return;
     }
-    Schedule(RandomSpan(1, 20), [this, call, result, generation] {
-      HandleResult(call, result, generation);
-    });
+    Schedule(RandomSpan(1, 20) + holder_lag_ms,
+             [this, call, result, generation] {
+               HandleResult(call, result, generation);
+             });
   }
 
   auto HandleResult(const WorkerCall& call,
--- a/Tests/LibDispatch/dispatcher_test.cc
+++ b/Tests/LibDispatch/dispatcher_test.cc
@@ -155,5 +155,18 @@
       15000));
 }
 
+// Guards against runs that make progress being stopped as hung by a holder that
+// handles the reports of its workers late.
+TEST(Dispatcher, ARunIsNotHungWhileItsReportsAreHandledLate) {
+  DispatchSimulation simulation;
+  simulation.AddWorkers(2);
+  simulation.holder_lag_ms = 2000;
+  simulation.Submit("job", "batch", {DispatchSimulation::Step(1, 1, 12000)});
+  EXPECT_TRUE(simulation.RunUntil(
+      [&] { return simulation.PhaseOf("job") == JobPhase::kCompleted; },
+      30000));
+  EXPECT_EQ(simulation.invariants.starts.begin()->second, 1);
+}
+
 }  // namespace
 }  // namespace kcm::dispatch
