LibDispatch: Count the work of planning

The dispatcher reads no clock, so what its passes cost is visible neither to tests nor in the holder's log. DispatchLoad counts the planning passes and the sessions, workers, runs, jobs and steps that were looked at; Dispatcher::load() returns it. No behaviour changes.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -184,6 +184,7 @@
   AdvanceTimers(now);
   std::vector<WorkerCall> calls;
   for (auto& [id, session] : sessions_) {
+    ++load_.sessions;
     auto more = session.TakeCalls(now.steady, stored_, may_renew);
     std::move(more.begin(), more.end(), std::back_inserter(calls));
   }
@@ -265,6 +266,7 @@
 
 auto Dispatcher::AdvanceTimers(ClockReading now) -> void {
   for (auto session = sessions_.begin(); session != sessions_.end();) {
+    ++load_.sessions;
     for (const auto& ended : session->second.TakeLapsedRuns(now.steady)) {
       ApplyRunEnd(session->first, ended, now);
     }
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "LibCore/event.h"
 #include "LibCore/reason.h"
 #include "LibDispatch/clock_reading.h"
+#include "LibDispatch/dispatch_load.h"
 #include "LibDispatch/dispatch_settings.h"
 #include "LibDispatch/fleet_view.h"
 #include "LibDispatch/job_order.h"
@@ -106,6 +107,9 @@
     return std::exchange(decisions_, {});
   }
 
+  /// @return the work done since the dispatcher was created.
+  [[nodiscard]] auto load() const -> const DispatchLoad& { return load_; }
+
   [[nodiscard]] auto job_table() const -> const JobTable& { return job_table_; }
   [[nodiscard]] auto sessions() const
       -> const std::map<std::string, WorkerSession>& {
@@ -160,7 +164,7 @@
                              ClockReading now) const -> bool;
   auto StopRunsOnLeavingWorkers(ClockReading now) -> void;
   auto PlanPlacements(ClockReading now) -> void;
-  auto GuaranteedJobs() const -> std::map<std::string, bool>;
+  auto GuaranteedJobs() -> std::map<std::string, bool>;
   auto BuildFleetView(const std::map<std::string, bool>& guaranteed_jobs,
                       ClockReading now) -> FleetView;
   auto BuildRunView(const Run& run,
@@ -206,6 +210,7 @@
   /// Urgent steps for which runs were evicted, and when to evict again.
   std::map<TaskId, core::Millis> evicting_until_;
   std::vector<DecisionRecord> decisions_;
+  DispatchLoad load_;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -31,6 +31,7 @@
 
 auto Dispatcher::PlanPlacements(ClockReading now) -> void {
   next_plan_at_ = now.steady + kPlanPeriodMs;
+  ++load_.plans;
   const auto guaranteed_jobs = GuaranteedJobs();
   auto pending_steps = CollectPendingSteps(guaranteed_jobs, now);
   if (pending_steps.empty()) {
@@ -50,9 +51,10 @@
   }
 }
 
-auto Dispatcher::GuaranteedJobs() const -> std::map<std::string, bool> {
+auto Dispatcher::GuaranteedJobs() -> std::map<std::string, bool> {
   std::vector<const Job*> urgent;
   for (const auto& [id, job] : job_table_.jobs()) {
+    ++load_.jobs;
     if (!IsEnded(job.phase) && PolicyOf(job).priority == 0) {
       urgent.push_back(&job);
     }
@@ -83,6 +85,7 @@
     ClockReading now) -> std::vector<PendingStep> {
   std::vector<PendingStep> pending_steps;
   for (auto& [id, job] : job_table_.jobs()) {
+    ++load_.jobs;
     if (IsEnded(job.phase)) {
       continue;
     }
@@ -112,6 +115,7 @@
                 .first;
       }
       pending.rank = rank->second;
+      ++load_.steps;
       pending_steps.push_back(std::move(pending));
     }
   }
@@ -150,7 +154,9 @@
     const std::map<std::string, bool>& guaranteed_jobs,
     ClockReading now) -> FleetView {
   FleetView fleet;
+  fleet.load = &load_;
   for (const auto& [id, session] : sessions_) {
+    ++load_.workers;
     if (!session.is_usable() || health_.IsCordoned(id, now.steady)) {
       continue;
     }
@@ -159,6 +165,7 @@
     worker.free = session.info().capacity;
     worker.free -= session.used();
     for (const auto& [task, run] : session.runs()) {
+      ++load_.runs;
       worker.runs.push_back(BuildRunView(run, guaranteed_jobs, now));
       if (worker.runs.back().stopping) {
         worker.stopping += run.demand;
--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -26,7 +26,9 @@
 auto Dispatcher::StopHungRuns(ClockReading now) -> void {
   std::vector<TaskId> hung;
   for (const auto& [id, session] : sessions_) {
+    ++load_.sessions;
     for (const auto& [task, run] : session.runs()) {
+      ++load_.runs;
       const auto* job = job_table_.FindJob(task.job);
       if (run.phase == RunPhase::kRunning && run.percent < kWholePercent &&
           session.is_answering() && now.steady - run.progressed_at > kHungMs &&
@@ -96,10 +98,12 @@
 auto Dispatcher::StopRunsOnLeavingWorkers(ClockReading now) -> void {
   std::vector<TaskId> leaving;
   for (const auto& [id, session] : sessions_) {
+    ++load_.sessions;
     if (!session.leaves_at()) {
       continue;
     }
     for (const auto& [task, run] : session.runs()) {
+      ++load_.runs;
       if (ShouldStopBeforeLeave(run, *session.leaves_at(), now)) {
         leaving.push_back(task);
       }
--- a/Libraries/LibDispatch/fleet_view.h
+++ b/Libraries/LibDispatch/fleet_view.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibCore/clock.h"
+#include "LibDispatch/dispatch_load.h"
 #include "LibDispatch/resources.h"
 #include "LibDispatch/task_id.h"
 #include "LibDispatch/worker_info.h"
@@ -54,6 +55,19 @@
   std::vector<WorkerView> workers;
   /// First and one past the last worker index of each rack.
   std::vector<std::pair<std::size_t, std::size_t>> racks;
+  /// Counts the work of searches; null to count none.
+  DispatchLoad* load = nullptr;
+
+  auto CountWorkers(std::size_t count) const -> void {
+    if (load != nullptr) {
+      load->workers += static_cast<std::int64_t>(count);
+    }
+  }
+  auto CountRuns(std::size_t count) const -> void {
+    if (load != nullptr) {
+      load->runs += static_cast<std::int64_t>(count);
+    }
+  }
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -56,6 +56,7 @@
                const PlacementRequest& request,
                WorkerRange range,
                const CapacityFunction& capacity_of) -> Placement {
+  fleet.CountWorkers(range.last - range.first);
   std::vector<Candidate> candidates;
   for (auto index = range.first; index < range.last; ++index) {
     const auto& worker = fleet.workers[index];
@@ -216,8 +217,10 @@
 auto FindFutureInRange(const FleetView& fleet,
                        const PlacementRequest& request,
                        WorkerRange range) -> std::optional<FuturePlacement> {
+  fleet.CountWorkers(range.last - range.first);
   std::vector<Opening> openings;
   for (auto index = range.first; index < range.last; ++index) {
+    fleet.CountRuns(fleet.workers[index].runs.size());
     const auto more = OpeningsOf(fleet.workers[index], index, request);
     openings.insert(openings.end(), more.begin(), more.end());
   }
@@ -318,7 +321,9 @@
   for (std::int64_t task = 0; task < request.tasks; ++task) {
     VictimSelector* best = nullptr;
     std::optional<Eviction> cheapest;
+    fleet.CountWorkers(selectors.size());
     for (auto& selector : selectors) {
+      fleet.CountRuns(selector.worker->runs.size());
       auto next = selector.NextEviction(request);
       if (next && (!cheapest || next->loss < cheapest->loss)) {
         cheapest = std::move(next);
