LibDispatch: Give planning a bounded share of the loop

Callers saw short work start late after a burst: the holder used its whole processor share, missed heartbeats and lost the term. Each answer of a worker, each stored batch and each call made a whole plan, and a plan searched the whole fleet, its runs and possible evictions anew for each waiting step. The cost of an event grew with the backlog, and the backlog with the cost.

- Events share a plan: there is a pause of 20 ms after each, longer after one that looked at more items (500 a millisecond: a quarter of an eighth of a core at some 60 ns an item).
It is counted, not timed, so a history stays the same.
- Capacity only shrinks within a pass, so a request that asks for at least as much as one that failed in this pass is not searched for again.
A future placement that is neither reserved nor awaited is not searched for either.
- The views of runs are built only for a pass that needs them.
- The capacity functions of the searches are template parameters.

Who is placed, ranks, reservations and evictions follow the same rules; the time of a plan moves by the pause. Without the second point the pause delayed urgent work that fits by up to 105 ms behind 500 waiting tasks (seen in DispatcherCost.AnUrgentJobThatFitsStartsSoonBehindABacklog, which passes now).

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -284,7 +284,7 @@
     next_prune_at_ = now.steady + kPrunePeriodMs;
     job_table_.Prune(now.wall - kStatusMargin * settings_.status_ms);
   }
-  if (now.steady >= next_plan_at_) {
+  if (now.steady >= std::max(next_plan_at_, plan_pause_until_)) {
     PlanPlacements(now);
   }
 }
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -17,6 +17,7 @@
 #include "LibDispatch/job_order.h"
 #include "LibDispatch/job_table.h"
 #include "LibDispatch/placement_finder.h"
+#include "LibDispatch/plan_pass.h"
 #include "LibDispatch/worker_health.h"
 #include "LibDispatch/worker_session.h"
 #include "LibSchedule/run_time_estimate.h"
@@ -163,10 +164,15 @@
                              core::Millis leaves_at,
                              ClockReading now) const -> bool;
   auto StopRunsOnLeavingWorkers(ClockReading now) -> void;
+  /// Makes a planning pass and sets the pause after it.
   auto PlanPlacements(ClockReading now) -> void;
+  auto PlacePendingSteps(ClockReading now) -> void;
   auto GuaranteedJobs() -> std::map<std::string, bool>;
-  auto BuildFleetView(const std::map<std::string, bool>& guaranteed_jobs,
-                      ClockReading now) -> FleetView;
+  auto BuildFleetView(ClockReading now) -> FleetView;
+  /// Adds the runs to the view, which only some searches need.
+  auto AddRunViews(const std::map<std::string, bool>& guaranteed_jobs,
+                   PlanPass& pass,
+                   ClockReading now) -> void;
   auto BuildRunView(const Run& run,
                     const std::map<std::string, bool>& guaranteed_jobs,
                     ClockReading now) -> RunView;
@@ -176,8 +182,8 @@
                              const FleetView& fleet,
                              ClockReading now) const -> PlacementRequest;
   auto PlanStep(PendingStep& pending,
-                FleetView& fleet,
-                int& reservations,
+                const std::map<std::string, bool>& guaranteed_jobs,
+                PlanPass& pass,
                 ClockReading now) -> void;
   auto Place(PendingStep& pending,
              const Placement& placement,
@@ -186,7 +192,7 @@
   /// @return whether capacity for the step is being freed.
   auto EvictFor(const PendingStep& pending,
                 const PlacementRequest& request,
-                FleetView& fleet,
+                PlanPass& pass,
                 ClockReading now) -> bool;
   auto StopVictims(const std::vector<TaskId>& victims,
                    const std::string& beneficiary,
@@ -206,6 +212,8 @@
   std::uint64_t next_batch_ = 1;
   std::uint64_t stored_ = 0;
   core::Millis next_plan_at_ = 0;
+  /// End of the pause after the newest planning pass.
+  core::Millis plan_pause_until_ = 0;
   core::Millis next_prune_at_ = 0;
   /// Urgent steps for which runs were evicted, and when to evict again.
   std::map<TaskId, core::Millis> evicting_until_;
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -1,6 +1,7 @@
 // Placement of waiting steps on the fleet.
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "LibDispatch/dispatcher.h"
@@ -11,6 +12,14 @@
 
 /// Interval between planning passes while nothing changes.
 constexpr core::Millis kPlanPeriodMs = 250;
+/// Events within this time share a planning pass. Urgent work has an objective
+/// of 500 ms, of which the pause may take a small part.
+constexpr core::Millis kMinPlanPauseMs = 20;
+/// Items that planning may look at per millisecond, on average: a quarter of
+/// the smallest processor share, an eighth of a core, at some 60 ns an item. A
+/// longer pass is followed by a longer pause, so that calls to workers and the
+/// store are never behind planning.
+constexpr std::int64_t kPlanWorkPerMs = 500;
 /// An urgent step without a guarantee evicts again after this time.
 constexpr core::Millis kEvictionMs = 800;
 /// Runs that end within this time, about as long as a stop takes, are awaited
@@ -32,22 +41,30 @@
 auto Dispatcher::PlanPlacements(ClockReading now) -> void {
   next_plan_at_ = now.steady + kPlanPeriodMs;
   ++load_.plans;
+  const auto work_before = load_.work();
+  PlacePendingSteps(now);
+  const auto work = load_.work() - work_before;
+  plan_pause_until_ =
+      now.steady + std::max(kMinPlanPauseMs, work / kPlanWorkPerMs);
+}
+
+auto Dispatcher::PlacePendingSteps(ClockReading now) -> void {
   const auto guaranteed_jobs = GuaranteedJobs();
   auto pending_steps = CollectPendingSteps(guaranteed_jobs, now);
   if (pending_steps.empty()) {
     return;
   }
-  auto fleet = BuildFleetView(guaranteed_jobs, now);
-  if (fleet.workers.empty()) {
+  PlanPass pass;
+  pass.fleet = BuildFleetView(now);
+  if (pass.fleet.workers.empty()) {
     return;
   }
   std::stable_sort(pending_steps.begin(), pending_steps.end(),
                    [](const PendingStep& left, const PendingStep& right) {
                      return left.rank < right.rank;
                    });
-  int reservations = 0;
   for (auto& pending : pending_steps) {
-    PlanStep(pending, fleet, reservations, now);
+    PlanStep(pending, guaranteed_jobs, pass, now);
   }
 }
 
@@ -150,9 +167,7 @@
   return view;
 }
 
-auto Dispatcher::BuildFleetView(
-    const std::map<std::string, bool>& guaranteed_jobs,
-    ClockReading now) -> FleetView {
+auto Dispatcher::BuildFleetView(ClockReading now) -> FleetView {
   FleetView fleet;
   fleet.load = &load_;
   for (const auto& [id, session] : sessions_) {
@@ -164,13 +179,6 @@
     worker.info = &session.info();
     worker.free = session.info().capacity;
     worker.free -= session.used();
-    for (const auto& [task, run] : session.runs()) {
-      ++load_.runs;
-      worker.runs.push_back(BuildRunView(run, guaranteed_jobs, now));
-      if (worker.runs.back().stopping) {
-        worker.stopping += run.demand;
-      }
-    }
     fleet.workers.push_back(std::move(worker));
   }
   std::stable_sort(fleet.workers.begin(), fleet.workers.end(),
@@ -189,6 +197,27 @@
   return fleet;
 }
 
+auto Dispatcher::AddRunViews(const std::map<std::string, bool>& guaranteed_jobs,
+                             PlanPass& pass,
+                             ClockReading now) -> void {
+  if (std::exchange(pass.has_runs, true)) {
+    return;
+  }
+  for (auto& worker : pass.fleet.workers) {
+    for (const auto& [task, run] : sessions_.at(worker.info->id).runs()) {
+      ++load_.runs;
+      if (run.phase == RunPhase::kStarting && run.placed_at == now.steady) {
+        // Placed in this pass, ahead of the steps that still wait.
+        continue;
+      }
+      worker.runs.push_back(BuildRunView(run, guaranteed_jobs, now));
+      if (worker.runs.back().stopping) {
+        worker.stopping += run.demand;
+      }
+    }
+  }
+}
+
 auto Dispatcher::BuildPlacementRequest(const PendingStep& pending,
                                        const FleetView& fleet,
                                        ClockReading now) const
@@ -203,7 +232,7 @@
   request.guaranteed = pending.rank.tier == JobTier::kGuaranteed;
   request.priority = pending.rank.priority;
   for (const auto& task : pending.step->tasks) {
-    if (task.phase == TaskPhase::kPlaced) {
+    if (spec.max_per_worker > 0 && task.phase == TaskPhase::kPlaced) {
       ++request.placed[task.worker];
     }
     request.avoid.insert(task.avoid.begin(), task.avoid.end());
@@ -215,37 +244,53 @@
 }
 
 auto Dispatcher::PlanStep(PendingStep& pending,
-                          FleetView& fleet,
-                          int& reservations,
+                          const std::map<std::string, bool>& guaranteed_jobs,
+                          PlanPass& pass,
                           ClockReading now) -> void {
+  auto& fleet = pass.fleet;
   const auto& spec = pending.job->SpecOf(*pending.step);
   auto request = BuildPlacementRequest(pending, fleet, now);
-  auto placement = FindPlacement(fleet, request);
-  if (!placement.empty()) {
-    Place(pending, placement, fleet, now);
-    if (pending.tasks.empty()) {
-      return;
+  if (!pass.no_capacity.Cover(request, 0)) {
+    const auto placement = FindPlacement(fleet, request);
+    if (!placement.empty()) {
+      Place(pending, placement, fleet, now);
+      if (pending.tasks.empty()) {
+        return;
+      }
+      request = BuildPlacementRequest(pending, fleet, now);
+    } else {
+      // Only reservations allow short runs where long ones do not fit.
+      pass.no_capacity.Add(request, pass.has_reserved ? request.run_ms : 0, 0);
     }
-    request = BuildPlacementRequest(pending, fleet, now);
   }
   const auto is_urgent =
       pending.rank.tier == JobTier::kGuaranteed ||
       (pending.rank.tier == JobTier::kInTime && pending.rank.priority == 0);
-  const auto future = spec.gang || is_urgent
-                          ? FindFuturePlacement(fleet, request)
-                          : std::nullopt;
+  if (!spec.gang && !is_urgent) {
+    return;
+  }
   // Runs may stay overdue; guaranteed work waits for them only once.
   const auto may_wait = pending.rank.tier != JobTier::kGuaranteed ||
                         now.wall - pending.rank.due_at <= kWaitForEndMs;
+  const auto may_reserve = pass.reservations < kMaxReservations;
+  std::optional<FuturePlacement> future;
+  AddRunViews(guaranteed_jobs, pass, now);
+  if (may_reserve || (may_wait && !pass.not_open_soon.Cover(request, 0))) {
+    future = FindFuturePlacement(fleet, request);
+    if (!future || future->at - now.steady > kWaitForEndMs) {
+      pass.not_open_soon.Add(request, 0, 0);
+    }
+  }
   const auto opens_soon =
       may_wait && future && future->at - now.steady <= kWaitForEndMs;
-  if (is_urgent && !opens_soon && EvictFor(pending, request, fleet, now)) {
+  if (is_urgent && !opens_soon && EvictFor(pending, request, pass, now)) {
     return;
   }
-  if (!future || (!opens_soon && reservations >= kMaxReservations)) {
+  if (!future || (!opens_soon && !may_reserve)) {
     return;
   }
-  reservations += opens_soon ? 0 : 1;
+  pass.reservations += opens_soon ? 0 : 1;
+  pass.has_reserved = true;
   for (const auto worker_index : future->placement) {
     auto& worker = fleet.workers[worker_index];
     worker.reserved += spec.demand;
@@ -302,20 +347,34 @@
 
 auto Dispatcher::EvictFor(const PendingStep& pending,
                           const PlacementRequest& request,
-                          FleetView& fleet,
+                          PlanPass& pass,
                           ClockReading now) -> bool {
+  auto& fleet = pass.fleet;
   const auto& spec = pending.job->SpecOf(*pending.step);
-  auto placement = FindPlacementAfterStops(fleet, request);
+  Placement placement;
+  if (!pass.no_capacity_after_stops.Cover(request, 0)) {
+    placement = FindPlacementAfterStops(fleet, request);
+    if (placement.empty()) {
+      pass.no_capacity_after_stops.Add(request, 0, 0);
+    }
+  }
   auto& until = evicting_until_[pending.job->IdOf(*pending.step, 0)];
+  // Guaranteed capacity is reclaimed regardless of the work lost.
+  const auto may_lose =
+      request.guaranteed
+          ? std::numeric_limits<double>::max()
+          : WeightOf(spec.demand) *
+                static_cast<double>(request.tasks * request.run_ms);
   // If other work took the capacity freed for guaranteed work, evict again
   // at once.
   if (static_cast<std::int64_t>(placement.size()) < request.tasks &&
-      (request.guaranteed || now.steady >= until)) {
+      (request.guaranteed || now.steady >= until) &&
+      !pass.no_evictions.Cover(request, may_lose)) {
     const auto plan = FindEvictions(fleet, request);
-    const auto own_work = WeightOf(spec.demand) *
-                          static_cast<double>(request.tasks * request.run_ms);
-    // Guaranteed capacity is reclaimed regardless of the work lost.
-    if (plan && (request.guaranteed || plan->loss <= own_work)) {
+    if (!plan || plan->loss > may_lose) {
+      pass.no_evictions.Add(
+          request, 0, plan ? may_lose : std::numeric_limits<double>::max());
+    } else {
       until = now.steady + kEvictionMs;
       StopVictims(plan->victims, pending.job->spec.id, now);
       placement = plan->placement;
--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -1,7 +1,6 @@
 #include "LibDispatch/placement_finder.h"
 
 #include <algorithm>
-#include <functional>
 #include <limits>
 #include <numeric>
 #include <utility>
@@ -10,9 +9,6 @@
 
 namespace {
 
-/// Capacity of one worker that a search may use.
-using CapacityFunction = std::function<Resources(const WorkerView&)>;
-
 /// An eligible worker and the number of tasks that fit on it.
 struct Candidate {
   std::size_t worker = 0;
@@ -52,6 +48,7 @@
 /// Fills the workers with the least free capacity first, so that whole workers
 /// stay free.
 /// @return a placement of as many tasks as fit.
+template <typename CapacityFunction>
 auto FillRange(const FleetView& fleet,
                const PlacementRequest& request,
                WorkerRange range,
@@ -91,6 +88,7 @@
   return static_cast<std::int64_t>(placement.size()) == request.tasks;
 }
 
+template <typename CapacityFunction>
 auto FreeAccelerators(const FleetView& fleet,
                       WorkerRange range,
                       const CapacityFunction& capacity_of) -> std::int64_t {
@@ -108,6 +106,7 @@
 }
 
 /// Places all tasks in the fitting rack with the least free accelerators.
+template <typename CapacityFunction>
 auto FillOneRack(const FleetView& fleet,
                  const PlacementRequest& request,
                  const CapacityFunction& capacity_of) -> Placement {
@@ -159,6 +158,7 @@
   return !FillOneRack(fleet, request, CapacityOf).empty();
 }
 
+template <typename CapacityFunction>
 auto FindWithCapacity(const FleetView& fleet,
                       const PlacementRequest& request,
                       const CapacityFunction& capacity_of) -> Placement {
--- /dev/null
+++ b/Libraries/LibDispatch/plan_pass.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "LibDispatch/failed_searches.h"
+#include "LibDispatch/fleet_view.h"
+
+namespace kcm::dispatch {
+
+/// State of one planning pass.
+struct PlanPass {
+  FleetView fleet;
+  /// The runs of the workers are in the view.
+  bool has_runs = false;
+  /// Number of steps with reserved capacity that does not open soon.
+  int reservations = 0;
+  /// Some capacity is reserved.
+  bool has_reserved = false;
+  FailedSearches no_capacity{FailedSearches::Goal::kPlacement};
+  FailedSearches no_capacity_after_stops{FailedSearches::Goal::kPlacement};
+  FailedSearches not_open_soon{FailedSearches::Goal::kAllTasks};
+  FailedSearches no_evictions{FailedSearches::Goal::kAllTasks};
+};
+
+}  // namespace kcm::dispatch
