LibDispatch: Keep an orphan run until it is gone

Seen: a new holder started tasks on capacity that was still in use. A run that the holder has no record of, whose stop was confirmed, was forgotten by the next poll even if that poll still listed it, as it does for the time a run takes to stop. The worker then counted as free until the following poll.

Ruled out: the tests' worker; the start came 120 ms before the run's end was reported. The new test WorkerSession.IsNotUsableUntilAnOrphanRunIsGone fails without this change.

The entry now stays while polls list the run; its reported end, or a poll without it, removes it.

--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -1,6 +1,7 @@
 // Handling of poll answers: which runs exist and which are gone.
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "LibDispatch/worker_session.h"
@@ -84,6 +85,7 @@
                                       core::Millis now,
                                       std::vector<EndedRun>& gone) -> void {
   std::map<TaskId, const RunReport*> listed;
+  std::set<OrphanRunKey> listed_orphans;
   for (const auto& row : report.running) {
     const auto found = runs_.find(row.task);
     if (found == runs_.end() || found->second.attempt != row.attempt) {
@@ -93,6 +95,7 @@
           });
       if (!was_ended) {
         orphan_runs_.try_emplace({row.task, row.attempt});
+        listed_orphans.emplace(row.task, row.attempt);
       }
       continue;
     }
@@ -127,7 +130,9 @@
   }
   std::erase_if(orphan_runs_, [&](const auto& entry) {
     const auto& [key, orphan] = entry;
-    return orphan.stop_confirmed_at && sent_at >= *orphan.stop_confirmed_at;
+    // A run that takes time to stop keeps its capacity until it is gone.
+    return orphan.stop_confirmed_at && sent_at >= *orphan.stop_confirmed_at &&
+           !listed_orphans.contains(key);
   });
 }
 
--- a/Tests/LibDispatch/worker_session_test.cc
+++ b/Tests/LibDispatch/worker_session_test.cc
@@ -123,5 +123,21 @@
   EXPECT_TRUE(session.is_usable());
 }
 
+// Guards against starts on capacity that an orphan run still uses: a run that
+// takes time to stop was forgotten as soon as its stop was confirmed (failures,
+// seed 29).
+TEST(WorkerSession, IsNotUsableUntilAnOrphanRunIsGone) {
+  WorkerSession session(MakeWorker(), DispatchSettings{}, 0);
+  std::ignore = session.OnPoll({}, Report({"orphan"}), 0, 0);
+  std::ignore = session.TakeCalls(10, kStored, true);
+  CallResult done;
+  done.end = CallEnd::kDone;
+  session.OnStop({{"orphan", 0, 0, 0}, 1}, done, 20);
+  std::ignore = session.OnPoll({}, Report({"orphan"}), 30, 40);
+  EXPECT_FALSE(session.is_usable());
+  std::ignore = session.OnPoll({}, Report({}), 50, 60);
+  EXPECT_TRUE(session.is_usable());
+}
+
 }  // namespace
 }  // namespace kcm::dispatch
