LibDispatch: Ask only the sessions concerned for calls

Each event walked all sessions four times, for timers, hung runs, leaving workers and calls, with a look-up of the job for each run: with 350 workers this was most of what an event cost once planning was bounded.

- CallSchedule knows when each worker has calls due.
A session is asked when it changed, when its time comes, or when the batch that it awaits is stored.
- Expired leases, hung runs and leaving workers, which are matters of seconds, are looked for every 50 ms instead of at each event.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Interval between checks for expired leases, hung runs and leaving workers,
+/// all of which are matters of seconds.
+constexpr core::Millis kWatchPeriodMs = 50;
 /// Interval between removals of old ended jobs.
 constexpr core::Millis kPrunePeriodMs = 5000;
 /// An ended job is kept for this many times the promised status time.
@@ -51,6 +54,7 @@
         run.start_sent = true;
         run.checkpoint = task.checkpoint;
         session.AddRun(std::move(run));
+        call_schedule_.SetDueNow(task.worker);
       }
       StopBrokenGang(job, step);
     }
@@ -96,6 +100,7 @@
     for (const auto& ended : session.UpdateInfo(info, now.steady)) {
       ApplyRunEnd(info.id, ended, now);
     }
+    call_schedule_.SetDueNow(info.id);
     if (is_new || old_incarnation != info.incarnation ||
         was_draining != info.draining) {
       RecordDecision(core::Event::kWorkerListed, {{"worker", info.id},
@@ -183,10 +188,19 @@
     -> std::vector<WorkerCall> {
   AdvanceTimers(now);
   std::vector<WorkerCall> calls;
-  for (auto& [id, session] : sessions_) {
+  for (const auto& worker : call_schedule_.TakeDue(now.steady)) {
+    const auto found = sessions_.find(worker);
+    if (found == sessions_.end()) {
+      continue;
+    }
     ++load_.sessions;
+    auto& session = found->second;
     auto more = session.TakeCalls(now.steady, stored_, may_renew);
     std::move(more.begin(), more.end(), std::back_inserter(calls));
+    call_schedule_.Set(worker, session.NextCallAt(stored_));
+    if (session.AwaitsStore(stored_)) {
+      call_schedule_.AwaitStore(worker);
+    }
   }
   return calls;
 }
@@ -200,6 +214,7 @@
     return;
   }
   auto& session = found->second;
+  call_schedule_.SetDueNow(call.worker);
   if (const auto* start = std::get_if<StartCall>(&call.command)) {
     if (result.end != CallEnd::kDone) {
       RecordDecision(core::Event::kStartRefused,
@@ -236,6 +251,7 @@
   if (session == sessions_.end()) {
     return;
   }
+  call_schedule_.SetDueNow(session->first);
   if (const auto gone = session->second.StopRun(id, now.steady)) {
     ApplyRunEnd(session->first, *gone, now);
   }
@@ -264,11 +280,12 @@
                   {"batch", job.batch}});
 }
 
-auto Dispatcher::AdvanceTimers(ClockReading now) -> void {
+auto Dispatcher::WatchSessions(ClockReading now) -> void {
   for (auto session = sessions_.begin(); session != sessions_.end();) {
     ++load_.sessions;
     for (const auto& ended : session->second.TakeLapsedRuns(now.steady)) {
       ApplyRunEnd(session->first, ended, now);
+      call_schedule_.SetDueNow(session->first);
     }
     if (!session->second.is_listed() && session->second.is_idle()) {
       RecordDecision(core::Event::kWorkerUnlisted,
@@ -280,6 +297,13 @@
   }
   StopHungRuns(now);
   StopRunsOnLeavingWorkers(now);
+}
+
+auto Dispatcher::AdvanceTimers(ClockReading now) -> void {
+  if (now.steady >= next_watch_at_) {
+    next_watch_at_ = now.steady + kWatchPeriodMs;
+    WatchSessions(now);
+  }
   if (now.steady >= next_prune_at_) {
     next_prune_at_ = now.steady + kPrunePeriodMs;
     job_table_.Prune(now.wall - kStatusMargin * settings_.status_ms);
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/event.h"
 #include "LibCore/reason.h"
+#include "LibDispatch/call_schedule.h"
 #include "LibDispatch/clock_reading.h"
 #include "LibDispatch/dispatch_load.h"
 #include "LibDispatch/dispatch_settings.h"
@@ -91,7 +92,10 @@
 
   /// @return rows to store, or nothing; only one batch may be in flight.
   [[nodiscard]] auto TakeBatch() -> std::optional<Batch>;
-  auto MarkStored(std::uint64_t batch) -> void { stored_ = batch; }
+  auto MarkStored(std::uint64_t batch) -> void {
+    stored_ = batch;
+    call_schedule_.OnStored();
+  }
   [[nodiscard]] auto stored_batch() const -> std::uint64_t { return stored_; }
 
   /// Advances timers, plans placements and collects the calls to send.
@@ -153,6 +157,8 @@
   auto EndJob(Job& job, JobPhase phase, ClockReading now) -> void;
 
   auto AdvanceTimers(ClockReading now) -> void;
+  /// Checks all sessions for what only the passing of time changes.
+  auto WatchSessions(ClockReading now) -> void;
   auto StopHungRuns(ClockReading now) -> void;
   /// @return the expected end of a run, on the steady clock.
   auto ExpectedEndOf(const Run& run,
@@ -204,6 +210,7 @@
   DispatchSettings settings_;
   JobTable job_table_;
   std::map<std::string, WorkerSession> sessions_;
+  CallSchedule call_schedule_;
   std::map<std::string, QueuePolicy> queues_;
   std::map<std::string, std::int64_t> guarantees_;
   WorkerHealth health_;
@@ -214,6 +221,7 @@
   core::Millis next_plan_at_ = 0;
   /// End of the pause after the newest planning pass.
   core::Millis plan_pause_until_ = 0;
+  core::Millis next_watch_at_ = 0;
   core::Millis next_prune_at_ = 0;
   /// Urgent steps for which runs were evicted, and when to evict again.
   std::map<TaskId, core::Millis> evicting_until_;
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -327,6 +327,7 @@
     run.checkpoint = spec.gang ? step.tasks[0].checkpoint : task.checkpoint;
     run.placed_at = now.steady;
     sessions_.at(worker.info->id).AddRun(std::move(run));
+    call_schedule_.SetDueNow(worker.info->id);
     worker.free -= spec.demand;
   }
   RecordDecision(core::Event::kJobPlaced,
--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -29,10 +29,13 @@
     ++load_.sessions;
     for (const auto& [task, run] : session.runs()) {
       ++load_.runs;
+      if (run.phase != RunPhase::kRunning || run.percent >= kWholePercent ||
+          !session.is_answering() ||
+          now.steady - run.progressed_at <= kHungMs) {
+        continue;
+      }
       const auto* job = job_table_.FindJob(task.job);
-      if (run.phase == RunPhase::kRunning && run.percent < kWholePercent &&
-          session.is_answering() && now.steady - run.progressed_at > kHungMs &&
-          job != nullptr && !IsEnded(job->phase)) {
+      if (job != nullptr && !IsEnded(job->phase)) {
         hung.push_back(task);
       }
     }
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -142,6 +142,45 @@
   return calls;
 }
 
+auto WorkerSession::NextCallAt(std::uint64_t stored) const
+    -> std::optional<core::Millis> {
+  std::optional<core::Millis> next;
+  const auto add = [&next](core::Millis at) {
+    next = std::min(next.value_or(at), at);
+  };
+  if (info_.address.host.empty()) {
+    return next;
+  }
+  if (!waiting_poll_in_flight_ && WantsPoll()) {
+    add(next_poll_at_);
+  }
+  if (!has_answered_) {
+    return next;
+  }
+  if (immediate_poll_wanted_ && !immediate_poll_in_flight_) {
+    add(0);
+  }
+  for (const auto& [task, run] : runs_) {
+    if (WantsCall(run, stored)) {
+      add(run.next_call_at);
+    }
+  }
+  for (const auto& [key, orphan] : orphan_runs_) {
+    if (!orphan.call_in_flight && !orphan.stop_confirmed_at) {
+      add(orphan.next_call_at);
+    }
+  }
+  return next;
+}
+
+auto WorkerSession::AwaitsStore(std::uint64_t stored) const -> bool {
+  return !pending_acknowledgements_.empty() ||
+         std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+           return entry.second.phase == RunPhase::kStarting &&
+                  entry.second.batch > stored;
+         });
+}
+
 auto WorkerSession::AddRunCalls(core::Millis now,
                                 std::uint64_t stored,
                                 bool may_renew,
@@ -184,8 +223,6 @@
                              bool may_renew,
                              std::vector<WorkerCall>& calls) -> void {
   const auto unstored = reported_end_ > stored_end_;
-  const auto wanted =
-      !has_answered_ || !is_idle() || stored_end_ > acknowledged_end_;
   PollCall poll;
   poll.acknowledged = stored_end_;
   if (may_renew && has_answered_ && !runs_.empty() &&
@@ -201,7 +238,7 @@
     calls.push_back(call);
     return;
   }
-  if (waiting_poll_in_flight_ || !wanted || next_poll_at_ > now) {
+  if (waiting_poll_in_flight_ || !WantsPoll() || next_poll_at_ > now) {
     return;
   }
   if (has_answered_ && !runs_.empty() && !unstored) {
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -57,6 +57,13 @@
                                std::uint64_t stored,
                                bool may_renew) -> std::vector<WorkerCall>;
 
+  /// @return when TakeCalls() may next return calls if nothing else happens;
+  ///     nothing for never.
+  [[nodiscard]] auto NextCallAt(std::uint64_t stored) const
+      -> std::optional<core::Millis>;
+  /// @return whether storing a later batch may cause calls.
+  [[nodiscard]] auto AwaitsStore(std::uint64_t stored) const -> bool;
+
   /// @return the run, if the result proves that the worker never began it.
   [[nodiscard]] auto OnStart(const StartCall& call,
                              const CallResult& result,
@@ -132,6 +139,17 @@
   auto AddPolls(core::Millis now,
                 bool may_renew,
                 std::vector<WorkerCall>& calls) -> void;
+  /// @return whether the worker is to be polled.
+  [[nodiscard]] auto WantsPoll() const -> bool {
+    return !has_answered_ || !is_idle() || stored_end_ > acknowledged_end_;
+  }
+  /// @return whether a call about the run is to be sent in its phase.
+  [[nodiscard]] static auto WantsCall(const Run& run, std::uint64_t stored)
+      -> bool {
+    return !run.call_in_flight &&
+           ((run.phase == RunPhase::kStarting && run.batch <= stored) ||
+            (run.phase == RunPhase::kStopping && !run.stop_confirmed_at));
+  }
   auto ApplyReportedEnds(const PollReport& report, std::vector<EndedRun>& gone)
       -> void;
   auto ApplyReportedRuns(const PollReport& report,
