LibDispatch: Leave ended jobs out of planning

A plan went over all jobs twice, of which most have ended: their status is kept for minutes. JobTable keeps an index of the others, by id as before.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -27,10 +27,8 @@
                     RecordDecision(core::Event::kRecordRejected,
                                    {{"key", key}, {"reason", reason.message}});
                   });
-  for (auto& [id, job] : job_table_.jobs()) {
-    if (IsEnded(job.phase)) {
-      continue;
-    }
+  for (const auto& [id, live_job] : job_table_.live_jobs()) {
+    auto& job = *live_job;
     for (auto& step : job.steps) {
       for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& task = step.tasks[index];
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -70,10 +70,10 @@
 
 auto Dispatcher::GuaranteedJobs() -> std::map<std::string, bool> {
   std::vector<const Job*> urgent;
-  for (const auto& [id, job] : job_table_.jobs()) {
+  for (const auto& [id, job] : job_table_.live_jobs()) {
     ++load_.jobs;
-    if (!IsEnded(job.phase) && PolicyOf(job).priority == 0) {
-      urgent.push_back(&job);
+    if (PolicyOf(*job).priority == 0) {
+      urgent.push_back(job);
     }
   }
   std::stable_sort(urgent.begin(), urgent.end(),
@@ -101,11 +101,9 @@
     const std::map<std::string, bool>& guaranteed_jobs,
     ClockReading now) -> std::vector<PendingStep> {
   std::vector<PendingStep> pending_steps;
-  for (auto& [id, job] : job_table_.jobs()) {
+  for (const auto& [id, live_job] : job_table_.live_jobs()) {
     ++load_.jobs;
-    if (IsEnded(job.phase)) {
-      continue;
-    }
+    auto& job = *live_job;
     std::map<std::int64_t, JobRank> ranks;
     for (auto& step : job.steps) {
       if (step.done == static_cast<std::int64_t>(step.tasks.size()) ||
--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -130,7 +130,12 @@
     auto job = MakeJob(std::move(spec));
     job.phase = document.at("phase").get<JobPhase>();
     job.ended_at = document.value("ended_at", core::Millis{0});
-    jobs_.insert_or_assign(id, std::move(job));
+    auto& loaded = jobs_.insert_or_assign(id, std::move(job)).first->second;
+    if (IsEnded(loaded.phase)) {
+      live_jobs_.erase(id);
+    } else {
+      live_jobs_.insert_or_assign(id, &loaded);
+    }
   } catch (const Json::exception& error) {
     return Unreadable(reason, error.what());
   }
@@ -170,6 +175,7 @@
   const auto id = spec.id;
   auto& job =
       jobs_.insert_or_assign(id, MakeJob(std::move(spec))).first->second;
+  live_jobs_.insert_or_assign(id, &job);
   rows_.push_back(RowOfJob(job));
   return job;
 }
@@ -195,6 +201,7 @@
 auto JobTable::EndJob(Job& job, JobPhase phase, core::Millis now) -> void {
   job.phase = phase;
   job.ended_at = now;
+  live_jobs_.erase(job.spec.id);
   rows_.push_back(RowOfJob(job));
   for (auto& step : job.steps) {
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
@@ -211,6 +218,7 @@
 }
 
 auto JobTable::Withdraw(const std::string& id) -> void {
+  live_jobs_.erase(id);
   jobs_.erase(id);
   std::erase_if(rows_,
                 [&](const StateRow& row) { return IsRowOf(row.key, id); });
@@ -229,9 +237,9 @@
 
 auto JobTable::PendingByQueue() const -> std::map<std::string, std::int64_t> {
   std::map<std::string, std::int64_t> pending;
-  for (const auto& [id, job] : jobs_) {
-    if (job.phase == JobPhase::kQueued) {
-      ++pending[job.spec.queue];
+  for (const auto& [id, job] : live_jobs_) {
+    if (job->phase == JobPhase::kQueued) {
+      ++pending[job->spec.queue];
     }
   }
   return pending;
--- a/Libraries/LibDispatch/job_table.h
+++ b/Libraries/LibDispatch/job_table.h
@@ -60,6 +60,11 @@
     return jobs_;
   }
 
+  /// @return the jobs that have not ended, in the order of their ids.
+  [[nodiscard]] auto live_jobs() const -> const std::map<std::string, Job*>& {
+    return live_jobs_;
+  }
+
   /// @return the rows written or deleted since the last call, to be stored.
   [[nodiscard]] auto TakeRows() -> std::vector<StateRow>;
 
@@ -70,6 +75,8 @@
   auto LoadTask(const StateRow& row, core::Reason& reason) -> bool;
 
   std::map<std::string, Job> jobs_;
+  /// Ended jobs, which are kept for minutes, far outnumber the others.
+  std::map<std::string, Job*> live_jobs_;
   std::vector<StateRow> rows_;
 };
 
