--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "LibCore/event.h"
 #include "LibCore/reason.h"
+#include "LibDispatch/call_schedule.h"
 #include "LibDispatch/clock_reading.h"
 #include "LibDispatch/dispatch_load.h"
 #include "LibDispatch/dispatch_settings.h"
@@ -17,6 +18,7 @@
 #include "LibDispatch/job_order.h"
 #include "LibDispatch/job_table.h"
 #include "LibDispatch/placement_finder.h"
+#include "LibDispatch/plan_pass.h"
 #include "LibDispatch/worker_health.h"
 #include "LibDispatch/worker_session.h"
 #include "LibSchedule/run_time_estimate.h"
@@ -90,7 +92,10 @@
 
   /// @return rows to store, or nothing; only one batch may be in flight.
   [[nodiscard]] auto TakeBatch() -> std::optional<Batch>;
-  auto MarkStored(std::uint64_t batch) -> void { stored_ = batch; }
+  auto MarkStored(std::uint64_t batch) -> void {
+    stored_ = batch;
+    call_schedule_.OnStored();
+  }
   [[nodiscard]] auto stored_batch() const -> std::uint64_t { return stored_; }
 
   /// Advances timers, plans placements and collects the calls to send.
@@ -152,6 +157,8 @@
   auto EndJob(Job& job, JobPhase phase, ClockReading now) -> void;
 
   auto AdvanceTimers(ClockReading now) -> void;
+  /// Checks all sessions for what only the passing of time changes.
+  auto WatchSessions(ClockReading now) -> void;
   auto StopHungRuns(ClockReading now) -> void;
   /// @return the expected end of a run, on the steady clock.
   auto ExpectedEndOf(const Run& run,
@@ -163,10 +170,15 @@
                              core::Millis leaves_at,
                              ClockReading now) const -> bool;
   auto StopRunsOnLeavingWorkers(ClockReading now) -> void;
+  /// Makes a planning pass and sets the pause after it.
   auto PlanPlacements(ClockReading now) -> void;
+  auto PlacePendingSteps(ClockReading now) -> void;
   auto GuaranteedJobs() -> std::map<std::string, bool>;
-  auto BuildFleetView(const std::map<std::string, bool>& guaranteed_jobs,
-                      ClockReading now) -> FleetView;
+  auto BuildFleetView(ClockReading now) -> FleetView;
+  /// Adds the runs to the view, which only some searches need.
+  auto AddRunViews(const std::map<std::string, bool>& guaranteed_jobs,
+                   PlanPass& pass,
+                   ClockReading now) -> void;
   auto BuildRunView(const Run& run,
                     const std::map<std::string, bool>& guaranteed_jobs,
                     ClockReading now) -> RunView;
@@ -176,8 +188,8 @@
                              const FleetView& fleet,
                              ClockReading now) const -> PlacementRequest;
   auto PlanStep(PendingStep& pending,
-                FleetView& fleet,
-                int& reservations,
+                const std::map<std::string, bool>& guaranteed_jobs,
+                PlanPass& pass,
                 ClockReading now) -> void;
   auto Place(PendingStep& pending,
              const Placement& placement,
@@ -186,7 +198,7 @@
   /// @return whether capacity for the step is being freed.
   auto EvictFor(const PendingStep& pending,
                 const PlacementRequest& request,
-                FleetView& fleet,
+                PlanPass& pass,
                 ClockReading now) -> bool;
   auto StopVictims(const std::vector<TaskId>& victims,
                    const std::string& beneficiary,
@@ -198,6 +210,7 @@
   DispatchSettings settings_;
   JobTable job_table_;
   std::map<std::string, WorkerSession> sessions_;
+  CallSchedule call_schedule_;
   std::map<std::string, QueuePolicy> queues_;
   std::map<std::string, std::int64_t> guarantees_;
   WorkerHealth health_;
@@ -206,6 +219,9 @@
   std::uint64_t next_batch_ = 1;
   std::uint64_t stored_ = 0;
   core::Millis next_plan_at_ = 0;
+  /// End of the pause after the newest planning pass.
+  core::Millis plan_pause_until_ = 0;
+  core::Millis next_watch_at_ = 0;
   core::Millis next_prune_at_ = 0;
   /// Urgent steps for which runs were evicted, and when to evict again.
   std::map<TaskId, core::Millis> evicting_until_;
