LibDispatch, LibEntry: Carry the wait for a lost worker's leases over takeovers

Cause: a run on a worker that does not answer is gone once all leases on it have lapsed. A new holder knows only that former holders granted none later than 4 s after its claim, so it waits 4 s + 1.03 x the longest lease + 0.5 s from its own claim. With a claim each 2 to 4 s no holder lived that long; one claim shortly before the end of the lease starts the wait anew as well.

Fix: a lease row a worker (`l/WORKER`) bounds what is left of its leases as a duration. It is written while a worker with runs does not answer and again each second, so that a bound shrinks across takeovers. While it exists, no poll and no start grants a lease; when the worker answers, the deletion is stored first. The row holds only while every holder since knows lease rows, which the term's row tells; otherwise, and for rows that cannot be read, the wait is the former one.

Needed for the bound to be true: - Until this holder has granted a lease, a run on a worker that has answered is gone only when former holders' leases have expired. Before, a worker that answered once and was cut off before its first renewal lost its lease on paper at once; the wait for the deletion would have widened that gap.

New: directed cases and random histories of takeovers each 2 to 4 s, former holders that go on granting without the store, clocks 2 % slow, workers reborn, cut off or lost for good.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -9,6 +9,9 @@
 
 /// Interval between removals of old ended jobs.
 constexpr core::Millis kPrunePeriodMs = 5000;
+/// Pause between writes of lease rows, so that those of many workers share a
+/// batch.
+constexpr core::Millis kLeaseRowPauseMs = 250;
 /// An ended job is kept for this many times the promised status time.
 constexpr core::Millis kStatusMargin = 2;
 
@@ -17,13 +20,14 @@
 Dispatcher::Dispatcher(DispatchSettings settings) : settings_(settings) {}
 
 auto Dispatcher::Recover(const std::vector<StateRow>& rows,
-                         core::Millis former_leases_end) -> void {
-  former_leases_end_ = former_leases_end;
+                         const FormerLeases& former) -> void {
+  former_leases_ = former;
   job_table_.Load(rows,
                   [this](const std::string& key, const core::Reason& reason) {
                     RecordDecision(core::Event::kRecordRejected,
                                    {{"key", key}, {"reason", reason.message}});
                   });
+  LoadLeaseRows(rows);
   for (auto& [id, job] : job_table_.jobs()) {
     if (IsEnded(job.phase)) {
       continue;
@@ -38,15 +42,18 @@
         info.id = task.worker;
         info.incarnation = task.incarnation;
         auto& session =
-            sessions_
-                .try_emplace(task.worker, info, settings_, former_leases_end)
+            sessions_.try_emplace(task.worker, info, settings_, former.end)
                 .first->second;
         session.SetListed(false);
         Run run;
         run.task = job.IdOf(step, index);
         run.attempt = task.attempt;
         run.demand = job.SpecOf(step).demand;
-        run.phase = RunPhase::kAdopted;
+        // A lease row may tell of a newer incarnation, which has to confirm
+        // that the run will not start there; see WorkerSession::UpdateInfo().
+        run.phase = task.incarnation < session.info().incarnation
+                        ? RunPhase::kStopping
+                        : RunPhase::kAdopted;
         // The former holder may have sent the start.
         run.start_sent = true;
         run.checkpoint = task.checkpoint;
@@ -84,12 +91,13 @@
 
 auto Dispatcher::SetFleet(const std::vector<WorkerInfo>& workers,
                           ClockReading now) -> void {
+  fleet_known_ = true;
   for (auto& [id, session] : sessions_) {
     session.SetListed(false);
   }
   for (const auto& info : workers) {
     const auto [found, is_new] =
-        sessions_.try_emplace(info.id, info, settings_, former_leases_end_);
+        sessions_.try_emplace(info.id, info, settings_, former_leases_.end);
     auto& session = found->second;
     const auto old_incarnation = session.info().incarnation;
     const auto was_draining = !is_new && session.info().draining;
@@ -169,10 +177,13 @@
 }
 
 auto Dispatcher::TakeBatch() -> std::optional<Batch> {
-  if (!job_table_.has_rows()) {
+  if (!job_table_.has_rows() && lease_rows_.empty()) {
     return std::nullopt;
   }
-  return Batch{next_batch_++, job_table_.TakeRows()};
+  auto rows = std::exchange(lease_rows_, {});
+  auto job_rows = job_table_.TakeRows();
+  std::move(job_rows.begin(), job_rows.end(), std::back_inserter(rows));
+  return Batch{next_batch_++, std::move(rows)};
 }
 
 auto Dispatcher::BatchOfNewestRows() const -> std::uint64_t {
@@ -265,12 +276,23 @@
 }
 
 auto Dispatcher::AdvanceTimers(ClockReading now) -> void {
+  const auto lease_rows_due = now.steady >= next_lease_rows_at_;
+  if (lease_rows_due) {
+    next_lease_rows_at_ = now.steady + kLeaseRowPauseMs;
+  }
   for (auto session = sessions_.begin(); session != sessions_.end();) {
     ++load_.sessions;
-    for (const auto& ended : session->second.TakeLapsedRuns(now.steady)) {
-      ApplyRunEnd(session->first, ended, now);
+    // A former bound may end before the listing shows that a start may have
+    // reached a newer incarnation.
+    if (fleet_known_) {
+      for (const auto& ended : session->second.TakeLapsedRuns(now.steady)) {
+        ApplyRunEnd(session->first, ended, now);
+      }
     }
-    if (!session->second.is_listed() && session->second.is_idle()) {
+    UpdateLeaseRow(session->first, session->second, lease_rows_due, now);
+    // A new session would not know of a deletion that is being stored.
+    if (!session->second.is_listed() && session->second.is_idle() &&
+        session->second.may_grant(stored_)) {
       RecordDecision(core::Event::kWorkerUnlisted,
                      {{"worker", session->first}});
       session = sessions_.erase(session);
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "LibDispatch/dispatch_load.h"
 #include "LibDispatch/dispatch_settings.h"
 #include "LibDispatch/fleet_view.h"
+#include "LibDispatch/former_leases.h"
 #include "LibDispatch/job_order.h"
 #include "LibDispatch/job_table.h"
 #include "LibDispatch/placement_finder.h"
@@ -53,10 +54,8 @@
   explicit Dispatcher(DispatchSettings settings);
 
   /// Loads the state that former term holders stored.
-  /// @param former_leases_end time on the steady clock by which all leases of
-  ///     former holders have expired.
-  auto Recover(const std::vector<StateRow>& rows,
-               core::Millis former_leases_end) -> void;
+  auto Recover(const std::vector<StateRow>& rows, const FormerLeases& former)
+      -> void;
 
   auto set_settings(const DispatchSettings& settings) -> void {
     settings_ = settings;
@@ -126,6 +125,16 @@
   };
 
   auto PolicyOf(const Job& job) const -> const QueuePolicy&;
+  /// Adds a session for each worker with a stored lease row.
+  auto LoadLeaseRows(const std::vector<StateRow>& rows) -> void;
+  /// Writes and deletes lease rows, to be stored with the next batch.
+  auto UpdateLeaseRow(const std::string& worker,
+                      WorkerSession& session,
+                      bool may_write,
+                      ClockReading now) -> void;
+  /// @return the newest incarnation of each worker that tasks are placed on.
+  [[nodiscard]] auto PlacedIncarnations() const
+      -> std::map<std::string, std::int64_t>;
   /// Stops the remaining members of a gang that a former holder was stopping.
   auto StopBrokenGang(Job& job, Step& step) -> void;
   auto BatchOfNewestRows() const -> std::uint64_t;
@@ -202,7 +211,12 @@
   std::map<std::string, std::int64_t> guarantees_;
   WorkerHealth health_;
   schedule::RunTimeEstimate estimates_;
-  core::Millis former_leases_end_ = 0;
+  FormerLeases former_leases_;
+  /// Lease rows to be stored with the next batch.
+  std::vector<StateRow> lease_rows_;
+  core::Millis next_lease_rows_at_ = 0;
+  /// The fleet's listing was read.
+  bool fleet_known_ = false;
   std::uint64_t next_batch_ = 1;
   std::uint64_t stored_ = 0;
   core::Millis next_plan_at_ = 0;
--- /dev/null
+++ b/Libraries/LibDispatch/dispatcher_leases.cc
@@ -0,0 +1,79 @@
+// Lease rows: durable bounds on the leases of workers that do not answer.
+
+#include <algorithm>
+
+#include "LibDispatch/dispatcher.h"
+#include "LibDispatch/lease_row.h"
+
+namespace kcm::dispatch {
+
+auto Dispatcher::PlacedIncarnations() const
+    -> std::map<std::string, std::int64_t> {
+  std::map<std::string, std::int64_t> incarnations;
+  for (const auto& [id, job] : job_table_.jobs()) {
+    if (IsEnded(job.phase)) {
+      continue;
+    }
+    for (const auto& step : job.steps) {
+      for (const auto& task : step.tasks) {
+        if (task.phase == TaskPhase::kPlaced) {
+          auto& newest = incarnations[task.worker];
+          newest = std::max(newest, task.incarnation);
+        }
+      }
+    }
+  }
+  return incarnations;
+}
+
+auto Dispatcher::LoadLeaseRows(const std::vector<StateRow>& rows) -> void {
+  const auto placed = PlacedIncarnations();
+  for (const auto& row : rows) {
+    if (!IsLeaseRow(row)) {
+      continue;
+    }
+    core::Reason reason;
+    const auto lease = DecodeLeaseRow(row, reason);
+    if (!lease) {
+      RecordDecision(core::Event::kRecordRejected,
+                     {{"key", row.key}, {"reason", reason.message}});
+      lease_rows_.push_back({row.key, ""});
+      continue;
+    }
+    const auto found = placed.find(lease->worker);
+    const auto placed_incarnation = found == placed.end() ? 0 : found->second;
+    const auto is_bound = lease->series == former_leases_.series &&
+                          lease->incarnation >= placed_incarnation;
+    WorkerInfo info;
+    info.id = lease->worker;
+    info.incarnation = is_bound ? lease->incarnation : placed_incarnation;
+    const auto leases_end = is_bound
+                                ? former_leases_.read_at + lease->remaining_ms
+                                : former_leases_.end;
+    auto& session =
+        sessions_.try_emplace(lease->worker, info, settings_, leases_end)
+            .first->second;
+    session.SetListed(false);
+    session.AdoptLeaseRow(former_leases_.read_at);
+  }
+}
+
+auto Dispatcher::UpdateLeaseRow(const std::string& worker,
+                                WorkerSession& session,
+                                bool may_write,
+                                ClockReading now) -> void {
+  const auto change = session.TakeLeaseRowChange(now.steady, next_batch_,
+                                                 may_write, fleet_known_);
+  if (!change) {
+    return;
+  }
+  if (!change->remaining_ms) {
+    lease_rows_.push_back(DeletedLeaseRow(worker));
+    return;
+  }
+  lease_rows_.push_back(
+      EncodeLeaseRow({worker, session.info().incarnation, *change->remaining_ms,
+                      former_leases_.series}));
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/former_leases.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+#include "LibCore/clock.h"
+
+namespace kcm::dispatch {
+
+/// What a new holder knows about the leases that former holders granted.
+struct FormerLeases {
+  /// Time on the steady clock by which all of them have expired.
+  core::Millis end = 0;
+  /// Time on the steady clock, not before the stored rows were read.
+  core::Millis read_at = 0;
+  /// See LeaseRow::series.
+  std::int64_t series = 0;
+};
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/lease_row.cc
@@ -0,0 +1,56 @@
+#include "LibDispatch/lease_row.h"
+
+#include <algorithm>
+#include <string_view>
+
+#include "LibCore/json.h"
+
+namespace kcm::dispatch {
+
+namespace {
+
+using core::Json;
+
+constexpr std::string_view kLeasePrefix = "l/";
+constexpr std::size_t kMembers = 3;
+
+}  // namespace
+
+auto EncodeLeaseRow(const LeaseRow& row) -> StateRow {
+  const auto bytes = Json::to_msgpack(
+      Json::array({row.incarnation, row.remaining_ms, row.series}));
+  return {std::string(kLeasePrefix) + row.worker, {bytes.begin(), bytes.end()}};
+}
+
+auto DeletedLeaseRow(const std::string& worker) -> StateRow {
+  return {std::string(kLeasePrefix) + worker, ""};
+}
+
+auto IsLeaseRow(const StateRow& row) -> bool {
+  return row.key.starts_with(kLeasePrefix) && !row.value.empty();
+}
+
+auto DecodeLeaseRow(const StateRow& row, core::Reason& reason)
+    -> std::optional<LeaseRow> {
+  const auto document = Json::from_msgpack(row.value, true, false);
+  const auto is_readable =
+      document.is_array() && document.size() == kMembers &&
+      std::all_of(document.begin(), document.end(), [](const Json& member) {
+        return member.is_number_integer();
+      });
+  if (!is_readable) {
+    reason = {core::ErrorKind::kBadInput, "",
+              "The lease row is not a list of three integers."};
+    return std::nullopt;
+  }
+  LeaseRow lease{row.key.substr(kLeasePrefix.size()), document[0], document[1],
+                 document[2]};
+  if (lease.worker.empty() || lease.remaining_ms < 0) {
+    reason = {core::ErrorKind::kBadInput, "",
+              "The lease row names no worker or ends in the past."};
+    return std::nullopt;
+  }
+  return lease;
+}
+
+}  // namespace kcm::dispatch
--- /dev/null
+++ b/Libraries/LibDispatch/lease_row.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "LibCore/clock.h"
+#include "LibCore/reason.h"
+#include "LibDispatch/state_row.h"
+
+namespace kcm::dispatch {
+
+/// Durable upper bound on the leases of one incarnation of a worker.
+///
+/// The bound is a duration, as the clocks of two holders have nothing in
+/// common: a holder that reads the row after it was stored may count from its
+/// own read.
+struct LeaseRow {
+  std::string worker;
+  std::int64_t incarnation = 0;
+  /// All leases that any holder has granted end at most this long after the row
+  /// was stored. None is granted while the row exists.
+  core::Millis remaining_ms = 0;
+  /// Number of the unbroken sequence of holders that honour lease rows; a row
+  /// of another sequence bounds nothing.
+  std::int64_t series = 0;
+};
+
+[[nodiscard]] auto EncodeLeaseRow(const LeaseRow& row) -> StateRow;
+
+/// @return the row that deletes a worker's lease row.
+[[nodiscard]] auto DeletedLeaseRow(const std::string& worker) -> StateRow;
+
+[[nodiscard]] auto IsLeaseRow(const StateRow& row) -> bool;
+
+/// @param reason set if the row cannot be read.
+[[nodiscard]] auto DecodeLeaseRow(const StateRow& row, core::Reason& reason)
+    -> std::optional<LeaseRow>;
+
+}  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_clock.h
+++ b/Libraries/LibDispatch/worker_clock.h
@@ -35,6 +35,15 @@
     return clock_ms_ + elapsed - elapsed / kDriftDivisor;
   }
 
+  /// @return an upper bound of the time until the worker's clock passes a
+  ///     reading.
+  [[nodiscard]] auto LongestUntil(core::Millis clock_ms, core::Millis now) const
+      -> core::Millis {
+    const auto remaining =
+        std::max<core::Millis>(clock_ms - Earliest(now), 0) + 1;
+    return remaining + remaining / (kDriftDivisor - 1) + 1;
+  }
+
  private:
   /// A worker's clock loses at most one part in this many (2 %).
   static constexpr core::Millis kDriftDivisor = 50;
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -16,6 +16,9 @@
 constexpr core::Millis kMaxCallDelayMs = 12000;
 /// Time after the end of a lease for the worker to kill the runs it covers.
 constexpr core::Millis kLapseMarginMs = 300;
+/// Age at which a lease row is written again. A takeover adds at most this much
+/// to the wait for the last lease; holders live longer.
+constexpr core::Millis kLeaseRowPeriodMs = 1000;
 
 }  // namespace
 
@@ -52,8 +55,12 @@
     }
   }
   const auto settings = settings_;
+  const auto lease_row_written_at = lease_row_written_at_;
+  const auto lease_row_deleted_in = lease_row_deleted_in_;
   *this = WorkerSession(info, settings,
                         now + kMaxCallDelayMs + settings.max_lease_ms);
+  lease_row_written_at_ = lease_row_written_at;
+  lease_row_deleted_in_ = lease_row_deleted_in;
   for (auto& run : unconfirmed) {
     run.phase = RunPhase::kStopping;
     run.start_sent = true;
@@ -114,6 +121,44 @@
   return until;
 }
 
+auto WorkerSession::LastLeaseEnd(core::Millis now) const -> core::Millis {
+  const auto own_end =
+      lease_until_ == 0
+          ? now
+          : now + clock_.LongestUntil(lease_until_ + kLapseMarginMs, now);
+  return std::max(own_end, former_leases_end_);
+}
+
+auto WorkerSession::IsSilent(bool fleet_known) const -> bool {
+  if (has_answered_) {
+    return unanswered_polls_ >= kMaxUnansweredPolls;
+  }
+  return unanswered_polls_ > 0 || (fleet_known && !listed_);
+}
+
+auto WorkerSession::TakeLeaseRowChange(core::Millis now,
+                                       std::uint64_t batch,
+                                       bool may_write,
+                                       bool fleet_known)
+    -> std::optional<LeaseRowChange> {
+  if (runs_.empty() || is_answering()) {
+    if (!lease_row_written_at_) {
+      return std::nullopt;
+    }
+    lease_row_written_at_.reset();
+    lease_row_deleted_in_ = batch;
+    return LeaseRowChange{};
+  }
+  const auto is_due = lease_row_written_at_
+                          ? now - *lease_row_written_at_ >= kLeaseRowPeriodMs
+                          : IsSilent(fleet_known);
+  if (!may_write || !is_due) {
+    return std::nullopt;
+  }
+  lease_row_written_at_ = now;
+  return LeaseRowChange{std::max<core::Millis>(LastLeaseEnd(now) - now, 0)};
+}
+
 auto WorkerSession::MakeCall(core::Millis now) const -> WorkerCall {
   return {info_.id, info_.incarnation, info_.address, now, PollCall{}};
 }
@@ -134,23 +179,24 @@
   if (info_.address.host.empty()) {
     return calls;
   }
+  const auto may_grant_now = may_renew && may_grant(stored);
   if (has_answered_) {
-    AddRunCalls(now, stored, may_renew, calls);
+    AddRunCalls(now, stored, may_grant_now, calls);
     AddOrphanRunCalls(now, calls);
   }
-  AddPolls(now, may_renew, calls);
+  AddPolls(now, may_grant_now, calls);
   return calls;
 }
 
 auto WorkerSession::AddRunCalls(core::Millis now,
                                 std::uint64_t stored,
-                                bool may_renew,
+                                bool may_grant,
                                 std::vector<WorkerCall>& calls) -> void {
   for (auto& [task, run] : runs_) {
     if (run.call_in_flight || run.next_call_at > now) {
       continue;
     }
-    if (run.phase == RunPhase::kStarting && run.batch <= stored && may_renew) {
+    if (run.phase == RunPhase::kStarting && run.batch <= stored && may_grant) {
       auto call = MakeCall(now);
       call.command = StartCall{task, run.attempt, run.payload, run.checkpoint,
                                GrantLease(now)};
@@ -181,14 +227,14 @@
 }
 
 auto WorkerSession::AddPolls(core::Millis now,
-                             bool may_renew,
+                             bool may_grant,
                              std::vector<WorkerCall>& calls) -> void {
   const auto unstored = reported_end_ > stored_end_;
   const auto wanted =
       !has_answered_ || !is_idle() || stored_end_ > acknowledged_end_;
   PollCall poll;
   poll.acknowledged = stored_end_;
-  if (may_renew && has_answered_ && !runs_.empty() &&
+  if (may_grant && has_answered_ && !runs_.empty() &&
       unanswered_polls_ < kMaxUnansweredPolls) {
     poll.lease_until = GrantLease(now);
   }
@@ -299,14 +345,24 @@
   if (runs_.empty() || (has_answered_ && unanswered_polls_ == 0 && listed_)) {
     return lapsed;
   }
-  const auto is_over =
-      has_answered_ ? clock_.Earliest(now) > lease_until_ + kLapseMarginMs
-                    : now > former_leases_end_;
-  if (!is_over) {
+  if (listed_ && !has_answered_ && unanswered_polls_ == 0 &&
+      !info_.address.host.empty()) {
+    // The first poll may return ends, so that done work need not run again.
     return lapsed;
   }
-  while (!runs_.empty()) {
-    const auto task = runs_.begin()->first;
+  // A lease of this holder ends after those of former holders, from whose calls
+  // the worker's first answer has fenced it. Without one, those count.
+  const auto has_granted = lease_until_ > 0;
+  const auto is_over =
+      has_granted ? clock_.Earliest(now) > lease_until_ + kLapseMarginMs
+                  : now > former_leases_end_;
+  std::vector<TaskId> over;
+  for (const auto& [task, run] : runs_) {
+    if (is_over || (!has_granted && has_answered_ && !run.start_sent)) {
+      over.push_back(task);
+    }
+  }
+  for (const auto& task : over) {
     lapsed.push_back(RemoveRun(task, RunEnd::kLapsed));
   }
   return lapsed;
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -22,6 +22,12 @@
   RunEnd how = RunEnd::kLost;
 };
 
+/// A lease row that is to be written or deleted; see LeaseRow.
+struct LeaseRowChange {
+  /// The bound on the worker's leases; nothing to delete the row.
+  std::optional<core::Millis> remaining_ms;
+};
+
 /// The term holder's state of one worker and the calls to make to it.
 ///
 /// Does no I/O: TakeCalls() returns calls, and the On...() functions handle
@@ -73,6 +79,26 @@
   /// Lets all ends reported so far be acknowledged once this batch is stored.
   auto AcknowledgeEndsAfter(std::uint64_t batch) -> void;
 
+  /// Takes over the lease row that a former holder stored: grants no lease
+  /// until its deletion is stored.
+  auto AdoptLeaseRow(core::Millis now) -> void { lease_row_written_at_ = now; }
+
+  /// Decides whether the worker's lease row changes. A row is written while the
+  /// worker, which has runs, gets no renewals, and deleted when it answers.
+  /// @param batch batch that will contain the change.
+  /// @param may_write whether a row may be written now, or only deleted.
+  /// @param fleet_known whether a worker that is not listed has left.
+  [[nodiscard]] auto TakeLeaseRowChange(core::Millis now,
+                                        std::uint64_t batch,
+                                        bool may_write,
+                                        bool fleet_known)
+      -> std::optional<LeaseRowChange>;
+
+  /// @return whether no lease row exists or is about to be deleted.
+  [[nodiscard]] auto may_grant(std::uint64_t stored) const -> bool {
+    return !lease_row_written_at_ && lease_row_deleted_in_ <= stored;
+  }
+
   /// @return runs whose leases have expired while the worker did not answer.
   [[nodiscard]] auto TakeLapsedRuns(core::Millis now) -> std::vector<EndedRun>;
 
@@ -122,15 +148,20 @@
   auto UpdateLeaveTime(core::Millis now) -> void;
   auto RemoveRun(const TaskId& task, RunEnd how) -> EndedRun;
   auto GrantLease(core::Millis now) -> core::Millis;
+  /// @return the time on the steady clock by which all leases that any holder
+  ///     has granted have expired.
+  [[nodiscard]] auto LastLeaseEnd(core::Millis now) const -> core::Millis;
+  /// @return whether the worker gets no renewals since it does not answer.
+  [[nodiscard]] auto IsSilent(bool fleet_known) const -> bool;
   [[nodiscard]] auto MakeCall(core::Millis now) const -> WorkerCall;
   auto AddRunCalls(core::Millis now,
                    std::uint64_t stored,
-                   bool may_renew,
+                   bool may_grant,
                    std::vector<WorkerCall>& calls) -> void;
   auto AddOrphanRunCalls(core::Millis now, std::vector<WorkerCall>& calls)
       -> void;
   auto AddPolls(core::Millis now,
-                bool may_renew,
+                bool may_grant,
                 std::vector<WorkerCall>& calls) -> void;
   auto ApplyReportedEnds(const PollReport& report, std::vector<EndedRun>& gone)
       -> void;
@@ -149,8 +180,13 @@
   /// Has answered a poll of this holder in its current incarnation.
   bool has_answered_ = false;
   WorkerClock clock_;
-  /// Latest end of any lease granted, on the worker's clock.
+  /// Latest end of any lease granted, on the worker's clock; zero if this
+  /// holder has granted none.
   core::Millis lease_until_ = 0;
+  /// When the lease row was written, if one exists or is being stored.
+  std::optional<core::Millis> lease_row_written_at_;
+  /// Batch with the newest deletion of the lease row.
+  std::uint64_t lease_row_deleted_in_ = 0;
   std::map<TaskId, Run> runs_;
   std::map<OrphanRunKey, OrphanRun> orphan_runs_;
   Resources used_;
--- a/Libraries/LibEntry/claim.cc
+++ b/Libraries/LibEntry/claim.cc
@@ -80,6 +80,9 @@
     return;
   }
   self_.epoch = previous_term_.epoch + 1;
+  self_.lease_rows_since = previous_term_.lease_rows_since > 0
+                               ? previous_term_.lease_rows_since
+                               : self_.epoch;
   loop_.After(watch_ms_, [self = shared_from_this()] { self->Append(); });
 }
 
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -43,12 +43,14 @@
 constexpr double kMaxClockDriftFactor = 1.03;
 constexpr Millis kLeaseExpiryMarginMs = 500;
 
-/// @return when the last lease granted by a previous holder has expired.
-auto LastLeaseExpiry(const EntrySettings& settings) -> Millis {
+auto LeasesOfFormerHolders(const EntrySettings& settings, const TermRow& term)
+    -> dispatch::FormerLeases {
   const auto lease = static_cast<double>(settings.dispatch.max_lease_ms);
-  return core::SuspendAwareNow() + kMaxUnconfirmedMs +
-         static_cast<Millis>(lease * kMaxClockDriftFactor) +
-         kLeaseExpiryMarginMs;
+  const auto now = core::SuspendAwareNow();
+  const auto end = now + kMaxUnconfirmedMs +
+                   static_cast<Millis>(lease * kMaxClockDriftFactor) +
+                   kLeaseExpiryMarginMs;
+  return {end, now, term.lease_rows_since};
 }
 
 }  // namespace
@@ -63,7 +65,7 @@
       dispatcher_(settings.dispatch),
       sequence_(claim.sequence),
       confirmed_at_(core::SuspendAwareNow()) {
-  dispatcher_.Recover(claim.rows, LastLeaseExpiry(settings));
+  dispatcher_.Recover(claim.rows, LeasesOfFormerHolders(settings, term_));
 }
 
 auto TermHolder::Start() -> void {
--- a/Libraries/LibEntry/term_row.cc
+++ b/Libraries/LibEntry/term_row.cc
@@ -5,8 +5,9 @@
 namespace kcm::entry {
 
 auto EncodeTerm(const TermRow& term) -> dispatch::StateRow {
-  const auto bytes = core::Json::to_msgpack(core::Json::array(
-      {term.epoch, term.name, term.address.host, term.address.port}));
+  const auto bytes = core::Json::to_msgpack(
+      core::Json::array({term.epoch, term.name, term.address.host,
+                         term.address.port, term.lease_rows_since}));
   return {kTermKey, {bytes.begin(), bytes.end()}};
 }
 
@@ -22,7 +23,10 @@
     if (!document.is_array() || document.size() < kMembers) {
       continue;
     }
-    newest = TermRow{document[0], document[1], {document[2], document[3]}};
+    newest = TermRow{document[0], document[1], {document[2], document[3]}, 0};
+    if (document.size() > kMembers && document[kMembers].is_number_integer()) {
+      newest->lease_rows_since = document[kMembers];
+    }
   }
   return newest;
 }
--- a/Libraries/LibEntry/term_row.h
+++ b/Libraries/LibEntry/term_row.h
@@ -16,6 +16,9 @@
   std::int64_t epoch = 0;
   std::string name;
   core::Address address;
+  /// First epoch from which on all holders have honoured lease rows; zero if
+  /// this holder may not honour them. Rows written before that epoch are void.
+  std::int64_t lease_rows_since = 0;
 };
 
 /// Key of the term's row. It sorts after all others, so that it can be read
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "LibDispatch/dispatcher.h"
+#include "LibDispatch/lease_row.h"
 #include "fake_worker.h"
 #include "invariant_check.h"
 
@@ -34,7 +35,7 @@
 
   explicit DispatchSimulation(std::uint32_t seed = 1)
       : random_(seed), dispatcher_(std::make_unique<Dispatcher>(Settings())) {
-    dispatcher_->Recover({}, 0);
+    dispatcher_->Recover({}, {});
     dispatcher_->SetQueues(Queues());
   }
 
@@ -117,7 +118,14 @@
   }
 
   /// Replaces the term holder by one that recovers from the stored rows.
-  auto ReplaceHolder(core::Millis lapse_after = 10500) -> void {
+  /// @param renews_for how long the former holder, cut from the store, still
+  ///     grants leases; it goes on sending other calls for as long again.
+  auto ReplaceHolder(core::Millis lapse_after = 10500,
+                     core::Millis renews_for = 0) -> void {
+    if (renews_for > 0) {
+      former_holders_.push_back({std::move(dispatcher_), fence, generation_,
+                                 now + renews_for, now + 2 * renews_for});
+    }
     ++fence;
     ++generation_;
     std::vector<StateRow> rows;
@@ -125,7 +133,7 @@
       rows.push_back({key, value});
     }
     dispatcher_ = std::make_unique<Dispatcher>(Settings());
-    dispatcher_->Recover(rows, now + lapse_after);
+    dispatcher_->Recover(rows, {now + lapse_after, now, 0});
     dispatcher_->SetQueues(Queues());
     dispatcher_->SetGuarantees(guarantees);
     invariants.OnNewHolder();
@@ -179,6 +187,8 @@
   /// Workers that the platform no longer lists, and those that do not answer.
   std::set<std::string> unlisted;
   std::set<std::string> unreachable;
+  /// Workers that do not answer the newest holder.
+  std::set<std::string> unreachable_for_newest;
   std::map<std::string, std::string> stored_rows;
   std::map<std::string, std::int64_t> guarantees;
   /// Gang members that ended because the others did not start in time.
@@ -199,6 +209,15 @@
   std::map<std::string, core::Millis> run_times_ms;
 
  private:
+  /// A holder that has not noticed that the term was taken from it.
+  struct FormerHolder {
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::int64_t fence = 0;
+    int generation = 0;
+    core::Millis renews_until = 0;
+    core::Millis ends_at = 0;
+  };
+
   struct ScheduledAction {
     core::Millis at = 0;
     std::function<void()> action;
@@ -242,8 +261,11 @@
       if (const auto* start = std::get_if<StartCall>(&call.command)) {
         invariants.OnStartSent(*start, now);
       }
-      DeliverCall(call);
+      CheckGrant(call);
+      DeliverCall(call, fence, generation_);
     }
+    AdvanceFormerHolders();
+    CheckLeaseRows();
     StoreBatch();
     for (const auto& note : dispatcher_->TakeDecisions()) {
       if (note.event == core::Event::kJobEnded &&
@@ -257,6 +279,51 @@
     }
   }
 
+  auto AdvanceFormerHolders() -> void {
+    std::erase_if(former_holders_, [&](const FormerHolder& holder) {
+      return now >= holder.ends_at;
+    });
+    for (auto& holder : former_holders_) {
+      const auto may_renew = now < holder.renews_until;
+      for (const auto& call : holder.dispatcher->TakeCalls(Now(), may_renew)) {
+        DeliverCall(call, holder.fence, holder.generation);
+      }
+    }
+  }
+
+  /// Checks that the holder grants no lease while it has a stored lease row.
+  auto CheckGrant(const WorkerCall& call) -> void {
+    const auto* poll = std::get_if<PollCall>(&call.command);
+    const auto grants = std::holds_alternative<StartCall>(call.command) ||
+                        (poll != nullptr && poll->lease_until);
+    if (grants && stored_rows.contains(DeletedLeaseRow(call.worker).key)) {
+      invariants.violations.push_back("a lease in spite of the row of " +
+                                      call.worker + " at " +
+                                      std::to_string(now));
+    }
+  }
+
+  /// Checks the stored bounds against the workers' own leases.
+  auto CheckLeaseRows() -> void {
+    for (const auto& [key, value] : stored_rows) {
+      const StateRow row{key, value};
+      core::Reason reason;
+      const auto lease =
+          IsLeaseRow(row) ? DecodeLeaseRow(row, reason) : std::nullopt;
+      if (!lease || !workers.contains(lease->worker)) {
+        continue;
+      }
+      const auto& worker = workers.at(lease->worker);
+      if (lease->series == 0 &&
+          worker.info().incarnation == lease->incarnation &&
+          now > stored_at_[key] + lease->remaining_ms && worker.HasLease(now)) {
+        invariants.violations.push_back("a lease outlives the row of " +
+                                        lease->worker + " at " +
+                                        std::to_string(now));
+      }
+    }
+  }
+
   auto AdvanceRuns() -> void {
     std::map<std::tuple<std::string, std::int64_t, std::int64_t>, std::int64_t>
         present;
@@ -300,6 +367,9 @@
       }
     }
     dispatcher_->SetFleet(listed, Now());
+    for (auto& holder : former_holders_) {
+      holder.dispatcher->SetFleet(listed, Now());
+    }
   }
 
   auto StoreBatch() -> void {
@@ -322,6 +392,7 @@
                    stored_rows.erase(row.key);
                  } else {
                    stored_rows[row.key] = row.value;
+                   stored_at_[row.key] = now;
                  }
                }
                dispatcher_->MarkStored(batch.number);
@@ -329,11 +400,12 @@
              });
   }
 
-  auto DeliverCall(const WorkerCall& call) -> void {
+  auto DeliverCall(const WorkerCall& call, std::int64_t token, int generation)
+      -> void {
     const auto there = RandomSpan(1, 20);
-    const auto token = fence;
-    const auto generation = generation_;
-    if (unreachable.contains(call.worker) || !workers.at(call.worker).up()) {
+    if (unreachable.contains(call.worker) || !workers.at(call.worker).up() ||
+        (generation == generation_ &&
+         unreachable_for_newest.contains(call.worker))) {
       Schedule(800, [this, call, generation] {
         HandleResult(call, {}, generation);
       });
@@ -407,6 +479,11 @@
     if (generation == generation_) {
       dispatcher_->OnResult(call, result, Now());
     }
+    for (auto& holder : former_holders_) {
+      if (generation == holder.generation) {
+        holder.dispatcher->OnResult(call, result, Now());
+      }
+    }
   }
 
   auto Execute(const WorkerCall& call, std::int64_t token) -> CallResult {
@@ -456,6 +533,9 @@
 
   std::mt19937 random_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  std::vector<FormerHolder> former_holders_;
+  /// When the newest value of a row was stored, by key.
+  std::map<std::string, core::Millis> stored_at_;
   std::vector<ScheduledAction> scheduled_;
   bool storing_ = false;
   int generation_ = 0;
--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -61,6 +61,8 @@
   /// A stopped run keeps its capacity until the grace period is over.
   auto set_stop_grace(core::Millis grace) -> void { stop_grace_ms_ = grace; }
   auto set_speed(double speed) -> void { speed_ = speed; }
+  /// Sets the speed of the worker's clock; at least 0.98 by the contract.
+  auto set_clock_rate(double rate) -> void { clock_rate_ = rate; }
 
   /// Loses all runs and restarts under the same id.
   auto Crash(core::Millis now) -> std::vector<FakeRun> {
@@ -81,7 +83,12 @@
   }
 
   [[nodiscard]] auto Clock(core::Millis now) const -> core::Millis {
-    return now - started_at_;
+    return static_cast<core::Millis>(static_cast<double>(now - started_at_) *
+                                     clock_rate_);
+  }
+
+  [[nodiscard]] auto HasLease(core::Millis now) const -> bool {
+    return Clock(now) <= lease_until_;
   }
 
   /// @return whether the run is new on this worker.
@@ -277,6 +284,7 @@
   core::Millis lease_until_ = 0;
   core::Millis started_at_ = 0;
   double speed_ = 1;
+  double clock_rate_ = 1;
   core::Millis stop_grace_ms_ = 0;
   bool fails_ = false;
   bool up_ = true;
--- a/Tests/LibEntry/claim_test.cc
+++ b/Tests/LibEntry/claim_test.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 
+#include "LibCore/json.h"
 #include "fake_store.h"
 
 namespace kcm::entry {
@@ -75,6 +76,33 @@
   EXPECT_EQ(FindTerm({{kTermKey, store.state.at(kTermKey)}})->name, "b");
 }
 
+// A holder that does not know lease rows grants leases in spite of them: rows
+// written before its term must not bound leases afterwards.
+TEST(Claim, HonoursLeaseRowsSinceTheLastHolderThatDidNot) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  std::vector<ClaimResult> results;
+  for (const auto* name : {"a", "b"}) {
+    results.clear();
+    StartClaim(loop, store, name, results, 1, 1);
+    loop.Run();
+    ASSERT_TRUE(results[0].won);
+    EXPECT_EQ(results[0].term.lease_rows_since, 1);
+  }
+  // A term's row of four members is that of an older version.
+  auto old_term = core::Json::from_msgpack(store.state.at(kTermKey));
+  old_term.erase(4);
+  const auto bytes = core::Json::to_msgpack(old_term);
+  store.state[kTermKey] = {bytes.begin(), bytes.end()};
+  for (const auto* name : {"c", "d"}) {
+    results.clear();
+    StartClaim(loop, store, name, results, 1, 3);
+    loop.Run();
+    ASSERT_TRUE(results[0].won);
+    EXPECT_EQ(results[0].term.lease_rows_since, 3);
+  }
+}
+
 // The term changed 88 times without any fault: a process that had no heartbeat
 // of the first holder yet read its row in the store and claimed the next term.
 TEST(Claim, FailsWhenTheStoreHasAnUnknownTerm) {
