LibEntry: Let the results that arrive together share one pass of the holder

Callers saw late starts and lost terms: every answer of a worker, request and stored batch made a full pass over all sessions, and a plan when it changed anything. Now a result asks for a pass, which runs after the handlers that are due in this turn of the loop, and no sooner than 5 ms after the last one. A single event is still handled in its own turn; the longer a pass takes, the more results share the next. A read asks for none, as it changes nothing. Timers, resignation and the write-ahead order are as before.

Evidence: of 50 answers in one turn the first ones sent 100 calls before the last was handled; 60 answers in turns of their own made 60 passes. Ruled out: a delay for each event, which would be added to every start.

--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -33,6 +33,10 @@
 /// every second, and a draining worker still accepts work for seconds.
 constexpr Millis kFleetReadPauseMs = 400;
 constexpr Millis kAppendRetryMs = 40;
+/// Least time between two passes that results and requests ask for. A task
+/// takes three from its acceptance to its start, which together are a fraction
+/// of the round trips between.
+constexpr Millis kPassIntervalMs = 5;
 /// A start or stop takes a round trip between regions; after a lost answer the
 /// call is retried this much later.
 constexpr Millis kCallTimeoutMs = 600;
@@ -114,7 +118,23 @@
     workers.push_back(info);
   }
   dispatcher_.SetFleet(workers, ReadClocks());
-  RunDueWork();
+  RequestPass();
+}
+
+auto TermHolder::RequestPass() -> void {
+  if (std::exchange(pass_requested_, true)) {
+    return;
+  }
+  const auto now = core::SuspendAwareNow();
+  dependencies_.loop.After(
+      std::clamp<Millis>(last_pass_at_ + kPassIntervalMs - now, 0,
+                         kPassIntervalMs),
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->pass_requested_) {
+          self->RunDueWork();
+        }
+      });
 }
 
 auto TermHolder::RunDueWork() -> void {
@@ -122,6 +142,8 @@
     return;
   }
   const auto now = core::SuspendAwareNow();
+  pass_requested_ = false;
+  last_pass_at_ = now;
   if (!on_resigned_) {
     SendWorkerCalls();
   }
@@ -151,7 +173,7 @@
             self->renew_now_ = true;
           }
           self->dispatcher_.OnResult(call, result, ReadClocks());
-          self->RunDueWork();
+          self->RequestPass();
         });
   }
 }
@@ -243,7 +265,7 @@
       waiter.done(waiter.answer);
     }
   }
-  RunDueWork();
+  RequestPass();
 }
 
 auto TermHolder::LoseTerm() -> void {
@@ -314,7 +336,9 @@
       kVerbs.begin(), kVerbs.end(),
       [&](const VerbRow& candidate) { return candidate.verb == request.verb; });
   (this->*row->handler)(request, done);
-  RunDueWork();
+  if (request.verb != JobVerb::kRead) {
+    RequestPass();
+  }
 }
 
 auto TermHolder::Submit(const HolderRequest& request, const AnswerDone& done)
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -97,6 +97,9 @@
   };
 
   static auto ReadClocks() -> dispatch::ClockReading;
+  /// Calls RunDueWork() after the handlers that are due now, so that the
+  /// results that arrived together share a pass over all workers.
+  auto RequestPass() -> void;
   auto StartNextAppend(core::Millis now) -> void;
   auto SendAppend() -> void;
   auto OnAppended(platform::StoreAppendOutcome end) -> void;
@@ -128,6 +131,8 @@
   /// When the last stored append was first sent.
   core::Millis confirmed_at_;
   bool renew_now_ = false;
+  bool pass_requested_ = false;
+  core::Millis last_pass_at_ = 0;
   bool active_ = true;
   std::multimap<std::uint64_t, Waiter> waiters_;
   std::function<void()> on_resigned_;
--- a/Tests/LibEntry/term_holder_test.cc
+++ b/Tests/LibEntry/term_holder_test.cc
@@ -1,11 +1,16 @@
 #include "LibEntry/term_holder.h"
 
 #include <gtest/gtest.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "LibEntry/holder_client.h"
@@ -14,15 +19,26 @@
 namespace kcm::entry {
 namespace {
 
-/// Task port whose calls are never answered.
-class UnresponsiveWorkers : public platform::TaskPort {
+/// Task port that answers a call when the test says so.
+class FakeWorkers : public platform::TaskPort {
  public:
   auto Send(const dispatch::WorkerCall& call,
             std::int64_t fence,
             core::Millis timeout,
             Done done) -> void override {
-    std::ignore = std::tuple(call, fence, timeout, done);
+    std::ignore = std::tuple(fence, timeout);
+    sent_at.insert(call.sent_at);
+    ++calls;
+    open.push_back(std::move(done));
   }
+
+  /// @return how to answer the calls that are open.
+  auto TakeOpen() -> std::vector<Done> { return std::exchange(open, {}); }
+
+  std::vector<Done> open;
+  /// When the calls were issued; those of one pass share the time.
+  std::set<core::Millis> sent_at;
+  std::size_t calls = 0;
 };
 
 class TermHolderTest : public testing::Test {
@@ -39,7 +55,7 @@
         TermHolderDependencies{loop_, store_, workers_, decoders_, *metrics_},
         settings_, claim_, [this] { lost_ = true; });
     loop_.Every(5, [this] {
-      if (holder_ != nullptr) {
+      if (ticking_) {
         holder_->RunDueWork();
       }
     });
@@ -63,6 +79,33 @@
     loop_.Run();
   }
 
+  /// Lists workers and waits until each has been polled.
+  auto ListWorkers(std::size_t count) -> void {
+    decoders_.decode_worker = [](const std::string& id, const std::string&,
+                                 core::Reason&) {
+      dispatch::WorkerInfo info;
+      info.id = id;
+      info.incarnation = 1;
+      info.address = {"127.0.0.1", 9};
+      return std::optional(info);
+    };
+    for (std::size_t worker = 0; worker < count; ++worker) {
+      store_.tables[platform::Table::kFleet].push_back(
+          {"w" + std::to_string(worker), "listed"});
+    }
+    holder_->Start();
+    RunUntil([&] { return workers_.calls == count; });
+  }
+
+  /// An answer that lists an unknown run: the next pass sends a stop.
+  static auto AnswerWithOrphan() -> dispatch::CallResult {
+    dispatch::CallResult result;
+    result.end = dispatch::CallEnd::kDone;
+    result.report =
+        dispatch::PollReport{1, 1, {{{"x", 0, 0, 0}, 1, "", 0}}, {}};
+    return result;
+  }
+
   /// Runs until a condition holds; if it never does, the test hangs.
   auto RunUntil(const std::function<bool()>& reached) -> void {
     while (!reached()) {
@@ -72,13 +115,14 @@
 
   net::EventLoop loop_;
   FakeStore store_{loop_};
-  UnresponsiveWorkers workers_;
+  FakeWorkers workers_;
   PlatformDecoders decoders_;
   EntrySettings settings_;
   ClaimResult claim_;
   std::unique_ptr<node::Metrics> metrics_;
   std::shared_ptr<TermHolder> holder_;
   std::vector<std::optional<HolderAnswer>> answers_;
+  bool ticking_ = true;
   bool lost_ = false;
 };
 
@@ -162,5 +206,65 @@
   EXPECT_EQ(answers.size(), 1U);
 }
 
+// Each answer of a worker made a full pass over all workers. Of 50 answers read
+// in one turn of the loop, 49 passes were for nothing.
+TEST_F(TermHolderTest, AnswersReadInOneTurnMakeOnePass) {
+  constexpr std::size_t kWorkers = 50;
+  ListWorkers(kWorkers);
+  ticking_ = false;
+  workers_.sent_at.clear();
+  std::size_t sent_during_turn = 0;
+  for (const auto& done : workers_.TakeOpen()) {
+    loop_.After(0, [&, done] {
+      done(AnswerWithOrphan());
+      sent_during_turn = workers_.calls - kWorkers;
+    });
+  }
+  // Each answer makes a stop and another poll.
+  RunUntil([&] { return workers_.calls == 3 * kWorkers; });
+  EXPECT_EQ(sent_during_turn, 0U);
+  EXPECT_EQ(workers_.sent_at.size(), 1U);
+}
+
+// Answers that arrive one after the other, each in its own turn, must not make
+// one pass each either: a pass costs more than an answer.
+TEST_F(TermHolderTest, AnswersInSeparateTurnsSharePasses) {
+  constexpr unsigned kWorkers = 60;
+  ListWorkers(kWorkers);
+  ticking_ = false;
+  const auto answers = workers_.TakeOpen();
+  // Readable for as many turns as there are answers.
+  const auto turns = eventfd(kWorkers, EFD_SEMAPHORE | EFD_CLOEXEC);
+  const auto started_at = core::SuspendAwareNow();
+  std::size_t answered = 0;
+  std::set<std::size_t> calls_seen;
+  loop_.OnReadable(turns, [&] {
+    std::uint64_t one = 0;
+    ASSERT_EQ(read(turns, &one, sizeof(one)), sizeof(one));
+    answers[answered++](AnswerWithOrphan());
+    calls_seen.insert(workers_.calls);
+  });
+  RunUntil([&] { return answered == kWorkers; });
+  const auto elapsed = core::SuspendAwareNow() - started_at;
+  close(turns);
+  // A pass each 5 ms at most, besides the first count and the first pass.
+  EXPECT_LE(calls_seen.size(), 2U + static_cast<std::size_t>(elapsed) / 5);
+}
+
+// A single event must not wait for others: only passes that follow another at
+// once are delayed.
+TEST_F(TermHolderTest, ASubmissionAloneIsStoredInTheSameTurn) {
+  ticking_ = false;
+  RunFor(20);
+  const auto before = store_.appends;
+  auto after = before;
+  loop_.After(0, [&] {
+    SendRequest(JobVerb::kSubmit, "a");
+    loop_.After(0, [&] { after = store_.appends; });
+  });
+  RunFor(5);
+  EXPECT_EQ(after, before + 1);
+}
+
 }  // namespace
 }  // namespace kcm::entry
