LibNet: Change epoll's interests once a turn

The platform charges each system call. A poll of a worker made six epoll_ctl calls, since evhttp enables and disables reading and writing several times for each message, a heartbeat that is answered four. libevent's list of changes applies only what differs at the end of a turn; it requires that no descriptor is a duplicate, and none here is.

--- a/Libraries/LibNet/event_loop.cc
+++ b/Libraries/LibNet/event_loop.cc
@@ -17,6 +17,19 @@
           static_cast<suseconds_t>((span % 1000) * 1000)};
 }
 
+/// A request enables and disables reading and writing on its connection several
+/// times. With the list of changes a turn makes one system call for each
+/// descriptor that is different at its end. No descriptor here is a duplicate,
+/// which is what the list requires.
+auto MakeBase() -> event_base* {
+  const std::unique_ptr<event_config, decltype(&event_config_free)>
+      configuration(event_config_new(), event_config_free);
+  KCM_CHECK(configuration != nullptr);
+  event_config_set_flag(configuration.get(),
+                        EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  return event_base_new_with_config(configuration.get());
+}
+
 auto RunOneShotHandler(evutil_socket_t /*unused*/,
                        short /*unused*/,
                        void* argument) -> void {
@@ -44,7 +57,7 @@
   }
 };
 
-EventLoop::EventLoop() : base_(event_base_new()) {
+EventLoop::EventLoop() : base_(MakeBase()) {
   KCM_CHECK(base_ != nullptr);
 }
 
