LibCore: Write a log line without copying its fields

The holder logs a line a decision. Each line copied the fields' document to add four members and encoded the whole. Only the fields are encoded now, the other members are added to the text, last, so that a reader still takes ours if a field has such a name.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -73,6 +73,8 @@
 
 struct LogOutput {
   std::string process;
+  /// The name of the process as a JSON string.
+  std::string process_json;
   bool as_json = false;
 };
 
@@ -94,12 +96,18 @@
 auto FormatLine(const EventInfo& info, const Json& fields) -> std::string {
   const auto number = static_cast<int>(info.event);
   if (Output().as_json) {
-    Json line = fields;
-    line["at_ms"] = WallNow();
-    line["process"] = Output().process;
-    line["event"] = number;
-    line["name"] = info.name;
-    return line.dump();
+    std::string line = "{";
+    if (!fields.empty()) {
+      line = fields.dump();
+      line.back() = ',';
+    }
+    // Added to the text, these members cost no copy of the fields. They come
+    // last, because a reader takes the last of two with one name.
+    line += R"("at_ms":)" + std::to_string(WallNow()) + R"(,"event":)" +
+            std::to_string(number) + R"(,"name":")";
+    line += info.name;
+    line += R"(","process":)" + Output().process_json + "}";
+    return line;
   }
   std::string line = "K" + std::to_string(number) + " ";
   line += info.name;
@@ -121,7 +129,7 @@
 
 auto SetUpLogging(std::string_view process, bool as_json, LogSink sink)
     -> void {
-  Output() = {std::string(process), as_json};
+  Output() = {std::string(process), Json(process).dump(), as_json};
   const std::string pattern =
       as_json ? "%m%n" : "%d %-5p " + Output().process + " %m%n";
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
