LibEntry: Relay a specification with submissions only

Some hundred reads a second reach the holder from its peers, each with the document of a default specification, which the holder decoded and dropped. It is absent now for reads and cancellations.

--- a/Libraries/LibEntry/holder_request.h
+++ b/Libraries/LibEntry/holder_request.h
@@ -48,7 +48,25 @@
 
 namespace kcm::entry {
 
-KCM_JSON(HolderRequest, verb, job, account, spec)
+inline auto to_json(core::Json& document, const HolderRequest& request)
+    -> void {
+  document = {{"verb", request.verb},
+              {"job", request.job},
+              {"account", request.account}};
+  if (request.verb == JobVerb::kSubmit) {
+    document["spec"] = request.spec;
+  }
+}
+
+inline auto from_json(const core::Json& document, HolderRequest& request)
+    -> void {
+  request.verb = document.value("verb", JobVerb::kRead);
+  request.job = document.value("job", "");
+  request.account = document.value("account", "");
+  if (const auto spec = document.find("spec"); spec != document.end()) {
+    request.spec = spec->get<dispatch::JobSpec>();
+  }
+}
 
 inline auto to_json(core::Json& document, const HolderAnswer& answer) -> void {
   document = {{"error", core::ErrorInfoOf(answer.error).name},
