--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -33,6 +33,10 @@
 /// every second, and a draining worker still accepts work for seconds.
 constexpr Millis kFleetReadPauseMs = 400;
 constexpr Millis kAppendRetryMs = 40;
+/// Least time between two passes that results and requests ask for. A task
+/// takes three from its acceptance to its start, which together are a fraction
+/// of the round trips between.
+constexpr Millis kPassIntervalMs = 5;
 /// A start or stop takes a round trip between regions; after a lost answer the
 /// call is retried this much later.
 constexpr Millis kCallTimeoutMs = 600;
@@ -63,6 +67,7 @@
       term_(claim.term),
       on_lost_(std::move(on_lost)),
       dispatcher_(settings.dispatch),
+      fleet_(dependencies.decoders),
       sequence_(claim.sequence),
       confirmed_at_(core::SuspendAwareNow()) {
   dispatcher_.Recover(claim.rows, LeasesOfFormerHolders(settings, term_));
@@ -92,31 +97,27 @@
 
 auto TermHolder::OnFleetRows(const std::vector<dispatch::StateRow>& rows,
                              bool whole) -> void {
-  if (whole) {
-    fleet_.clear();
-  }
-  for (const auto& row : rows) {
-    core::Reason reason;
-    auto info = row.value.empty() ? std::nullopt
-                                  : dependencies_.decoders.decode_worker(
-                                        row.key, row.value, reason);
-    if (info) {
-      fleet_.insert_or_assign(row.key, std::move(*info));
-      continue;
-    }
-    if (!row.value.empty()) {
-      core::LogEvent(core::Event::kRecordRejected,
-                     {{"key", row.key}, {"reason", reason.message}});
-    }
-    fleet_.erase(row.key);
+  if (!fleet_.Apply(rows, whole)) {
+    return;
   }
-  std::vector<dispatch::WorkerInfo> workers;
-  workers.reserve(fleet_.size());
-  for (const auto& [id, info] : fleet_) {
-    workers.push_back(info);
+  dispatcher_.SetFleet(fleet_.Workers(), ReadClocks());
+  RequestPass();
+}
+
+auto TermHolder::RequestPass() -> void {
+  if (std::exchange(pass_requested_, true)) {
+    return;
   }
-  dispatcher_.SetFleet(workers, ReadClocks());
-  RunDueWork();
+  const auto now = core::SuspendAwareNow();
+  dependencies_.loop.After(
+      std::clamp<Millis>(last_pass_at_ + kPassIntervalMs - now, 0,
+                         kPassIntervalMs),
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->pass_requested_) {
+          self->RunDueWork();
+        }
+      });
 }
 
 auto TermHolder::RunDueWork() -> void {
@@ -124,6 +125,8 @@
     return;
   }
   const auto now = core::SuspendAwareNow();
+  pass_requested_ = false;
+  last_pass_at_ = now;
   if (!on_resigned_) {
     SendWorkerCalls();
   }
@@ -153,7 +156,7 @@
             self->renew_now_ = true;
           }
           self->dispatcher_.OnResult(call, result, ReadClocks());
-          self->RunDueWork();
+          self->RequestPass();
         });
   }
 }
@@ -245,7 +248,7 @@
       waiter.done(waiter.answer);
     }
   }
-  RunDueWork();
+  RequestPass();
 }
 
 auto TermHolder::LoseTerm() -> void {
@@ -316,7 +319,9 @@
       kVerbs.begin(), kVerbs.end(),
       [&](const VerbRow& candidate) { return candidate.verb == request.verb; });
   (this->*row->handler)(request, done);
-  RunDueWork();
+  if (request.verb != JobVerb::kRead) {
+    RequestPass();
+  }
 }
 
 auto TermHolder::Submit(const HolderRequest& request, const AnswerDone& done)
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -11,6 +11,7 @@
 #include "LibDispatch/dispatcher.h"
 #include "LibEntry/claim.h"
 #include "LibEntry/entry_settings.h"
+#include "LibEntry/fleet_table.h"
 #include "LibEntry/holder_request.h"
 #include "LibEntry/platform_decoders.h"
 #include "LibEntry/table_follower.h"
@@ -97,6 +98,9 @@
   };
 
   static auto ReadClocks() -> dispatch::ClockReading;
+  /// Calls RunDueWork() after the handlers that are due now, so that the
+  /// results that arrived together share a pass over all workers.
+  auto RequestPass() -> void;
   auto StartNextAppend(core::Millis now) -> void;
   auto SendAppend() -> void;
   auto OnAppended(platform::StoreAppendOutcome end) -> void;
@@ -121,13 +125,15 @@
   TermRow term_;
   std::function<void()> on_lost_;
   dispatch::Dispatcher dispatcher_;
-  std::map<std::string, dispatch::WorkerInfo> fleet_;
+  FleetTable fleet_;
   std::unique_ptr<TableFollower> fleet_follower_;
   std::int64_t sequence_;
   std::optional<Append> append_;
   /// When the last stored append was first sent.
   core::Millis confirmed_at_;
   bool renew_now_ = false;
+  bool pass_requested_ = false;
+  core::Millis last_pass_at_ = 0;
   bool active_ = true;
   std::multimap<std::uint64_t, Waiter> waiters_;
   std::function<void()> on_resigned_;
