LibEntry: Prefer processes with more processor capacity as term holder

Seen by callers: the term fell to a VM with a quarter of the capacity of others, whose processor was saturated a few seconds later; then refusals and nine terms in 48 s. Cause: the claim delay was a hash of the name, and nothing moved a term away from a small VM. Now the settings file's limits.cpu_share x limits.cores travels in heartbeats, also in notes on the other processes, since all but the holder hear the holder only. A process that knows a live peer of at least twice its capacity claims 300 ms later; one in another region than the store still 500 ms later. A holder with such a peer resigns by the existing path: after 2 s when idle, else after 10 s, at most once a minute. A process that is draining or that the store has not answered for 3 s reports no capacity. Found by the new test: a process counted its claim delay from the vacancy before its own term, so that it claimed at once after it had resigned. Also, a single read of the term slowed by load marked the store as remote; now the shortest of at least five round trips counts.

Election.WaitsForItsClaimDelayAfterItsOwnTerm was written after its fix and not seen failing by itself.

--- /dev/null
+++ b/Libraries/LibEntry/claim_order.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "LibCore/clock.h"
+
+namespace kcm::entry {
+
+/// A process that may hold the term, with what decides how well it is suited.
+struct Candidate {
+  /// Address for its peers, which orders equal candidates.
+  std::string address;
+  /// Processor capacity in cores; zero if it is unknown or the process cannot
+  /// hold the term now.
+  double cpu_capacity = 0;
+  /// The store is in another region, so that each append crosses between
+  /// regions.
+  bool is_store_remote = false;
+};
+
+/// @return whether a process has so much more processor capacity than another
+///     one that it should hold the term instead; false if either is unknown.
+[[nodiscard]] auto HasClearlyMoreCapacity(const Candidate& candidate,
+                                          const Candidate& other) -> bool;
+
+/// @param live_peers the other processes known to be alive.
+/// @return how long the term must be vacant before a process claims it: longer
+///     for one in another region than the store, and for one that knows a peer
+///     with clearly more capacity.
+[[nodiscard]] auto ClaimDelay(const Candidate& self,
+                              const std::vector<Candidate>& live_peers)
+    -> core::Millis;
+
+}  // namespace kcm::entry
--- a/Libraries/LibEntry/election.h
+++ b/Libraries/LibEntry/election.h
@@ -53,6 +53,9 @@
                                bool has_peers,
                                core::Millis now) -> std::optional<ClaimPlan>;
 
+  /// A term that ends later counts as vacant from then on.
+  auto RecordClaimWon() -> void { vacant_since_.reset(); }
+
   auto RecordClaimFailure(core::Millis now) -> void {
     blocked_until_ = now + settings_.claim_retry_ms;
     vacant_since_.reset();
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -1,9 +1,9 @@
 #include "LibEntry/entry_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibCore/event.h"
-#include "LibCore/stable_hash.h"
 #include "LibNet/http_status.h"
 
 namespace kcm::entry {
@@ -22,18 +22,14 @@
 /// How long the store may hold a read of the configuration. A change that it
 /// does not announce is found after this time at the latest.
 constexpr Millis kOperatorsWaitMs = 1000;
-/// Claims of the processes of one deployment are spread over this time.
-constexpr Millis kClaimSpreadMs = 200;
-/// A process in another region than the store claims this much later, because
-/// each of its appends would cross between regions.
-constexpr Millis kRemoteRegionDelayMs = 500;
+/// Reads of the term by which at least one round trip is not prolonged by load.
+constexpr int kMinTermReads = 5;
 /// A longer round trip to the store means that it is in another region.
 constexpr Millis kRemoteRegionRoundTripMs = 20;
 constexpr Millis kRelayedTimeoutMs = 700;
-
-auto ClaimDelayOf(const std::string& name) -> Millis {
-  return static_cast<Millis>(core::StableHash(name) % kClaimSpreadMs);
-}
+/// A process that the store has not answered for this long, some reads of the
+/// configuration, is no candidate for the term.
+constexpr Millis kStoreSilentMs = 3000;
 
 }  // namespace
 
@@ -74,6 +70,10 @@
              [this] {
                PeerMonitor::LocalState self;
                self.routes_version = routes_.version;
+               self.cpu_capacity = CandidateCapacity();
+               self.is_store_remote =
+                   term_reads_ > 0 &&
+                   min_store_round_trip_ms_ > kRemoteRegionRoundTripMs;
                self.resigned = draining_ && holder_ == nullptr &&
                                peers_.holder_view().address == settings_.peer;
                if (holder_ != nullptr) {
@@ -87,7 +87,7 @@
                      dependencies.http,
                      peers_,
                      [this] { return holder_; }),
-      election_({}, ClaimDelayOf(settings.name)) {}
+      election_({}, 0) {}
 
 auto EntryService::SetSettings(const EntrySettings& settings) -> void {
   settings_ = settings;
@@ -125,6 +125,7 @@
       holder->StepDown();
     }
     holder->RunDueWork();
+    ResignToLargerPeer(now);
   }
   if (now >= next_heartbeat_at_) {
     next_heartbeat_at_ = now + kHeartbeatMs;
@@ -133,11 +134,14 @@
   if (holder_ != nullptr || claiming_ || draining_) {
     return;
   }
+  election_.set_claim_delay(
+      ClaimDelay(peers_.SelfAsCandidate(), peers_.LivePeers()));
   if (const auto plan = election_.PlanClaim(peers_.holder_view(),
                                             peers_.last_peer_contact_at(),
                                             peers_.has_peers(), now)) {
     StartClaim(*plan);
-  } else if (now >= next_term_read_at_ && !peers_.RouteToHolder()) {
+  } else if (now >= next_term_read_at_ &&
+             (term_reads_ < kMinTermReads || !peers_.RouteToHolder())) {
     next_term_read_at_ = now + kTermReadMs;
     ReadStoredTerm();
   }
@@ -151,10 +155,9 @@
         if (!read.answered) {
           return;
         }
-        const auto is_remote =
-            core::SuspendAwareNow() - sent_at > kRemoteRegionRoundTripMs;
-        election_.set_claim_delay(ClaimDelayOf(settings_.name) +
-                                  (is_remote ? kRemoteRegionDelayMs : 0));
+        ++term_reads_;
+        min_store_round_trip_ms_ = std::min(min_store_round_trip_ms_,
+                                            core::SuspendAwareNow() - sent_at);
         if (const auto term = FindTerm(read.rows)) {
           peers_.OnTermStored(*term);
         }
@@ -183,6 +186,7 @@
   }
   core::LogEvent(core::Event::kTermClaimed,
                  {{"epoch", result.term.epoch}, {"rows", result.rows.size()}});
+  election_.RecordClaimWon();
   peers_.OnTermWon(result.term);
   if (draining_) {
     peers_.OnTermEnded(result.term.epoch);
@@ -194,6 +198,7 @@
                              dependencies_.tasks, dependencies_.decoders,
                              dependencies_.metrics},
       settings_, result, [this] { OnTermLost(); });
+  held_since_ = core::SuspendAwareNow();
   holder_->SetRoutes(routes_);
   holder_->Start();
   peers_.BroadcastHeartbeat();
@@ -211,9 +216,31 @@
 
 auto EntryService::Drain() -> void {
   draining_ = true;
-  if (holder_ == nullptr) {
+  if (holder_ != nullptr) {
+    ResignTerm();
+  }
+}
+
+auto EntryService::CandidateCapacity() const -> double {
+  const auto is_candidate =
+      !draining_ && operators_follower_ != nullptr &&
+      core::SuspendAwareNow() - operators_follower_->answered_at() <
+          kStoreSilentMs;
+  return is_candidate ? settings_.cpu_capacity : 0;
+}
+
+auto EntryService::ResignToLargerPeer(Millis now) -> void {
+  if (holder_ == nullptr || draining_ || holder_->StoreOutageMs() > 0 ||
+      !handover_policy_.ShouldResign(peers_.SelfAsCandidate(),
+                                     peers_.LivePeers(), now - held_since_,
+                                     holder_->IsIdle(), now)) {
     return;
   }
+  handover_policy_.RecordResignation(now);
+  ResignTerm();
+}
+
+auto EntryService::ResignTerm() -> void {
   holder_->Resign([this] {
     if (holder_ == nullptr) {
       return;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include "LibEntry/client_request_handler.h"
 #include "LibEntry/election.h"
 #include "LibEntry/entry_settings.h"
+#include "LibEntry/handover_policy.h"
 #include "LibEntry/holder_client.h"
 #include "LibEntry/peer_monitor.h"
 #include "LibEntry/platform_decoders.h"
@@ -65,6 +67,10 @@
   EntryService(EntryDependencies dependencies, const EntrySettings& settings);
 
   auto RunDueWork() -> void;
+  /// @return capacity for holding the term; zero if this process cannot.
+  [[nodiscard]] auto CandidateCapacity() const -> double;
+  auto ResignToLargerPeer(core::Millis now) -> void;
+  auto ResignTerm() -> void;
   auto StartClaim(const ClaimPlan& plan) -> void;
   auto OnClaimed(ClaimResult result) -> void;
   auto OnTermLost() -> void;
@@ -87,6 +93,12 @@
   PeerMonitor peers_;
   HolderClient holder_client_;
   Election election_;
+  HandoverPolicy handover_policy_;
+  core::Millis held_since_ = 0;
+  /// Answered reads of the term, and the shortest round trip of one.
+  int term_reads_ = 0;
+  core::Millis min_store_round_trip_ms_ =
+      std::numeric_limits<core::Millis>::max();
   std::unique_ptr<TableFollower> operators_follower_;
   std::unique_ptr<net::HttpServer> peer_server_;
   core::Millis next_heartbeat_at_ = 0;
--- a/Libraries/LibEntry/entry_settings.h
+++ b/Libraries/LibEntry/entry_settings.h
@@ -24,6 +24,8 @@
   /// Listening address for metrics.
   core::Address metrics;
   core::Address store;
+  /// Processor capacity of this VM in cores; zero if unknown.
+  double cpu_capacity = 0;
   /// Peers to contact at the start; some may no longer exist.
   std::vector<core::Address> seeds;
   /// Time between SIGTERM and the end of the process.
--- a/Libraries/LibEntry/peer_heartbeat.h
+++ b/Libraries/LibEntry/peer_heartbeat.h
@@ -10,12 +10,29 @@
 
 namespace kcm::entry {
 
+/// What the sender of a heartbeat knows about another entry process.
+struct PeerNote {
+  /// As "host:port".
+  std::string address;
+  double cpu_capacity = 0;
+  bool is_store_remote = false;
+  /// Time since the last known heartbeat of the process.
+  core::Millis heard_ms = 0;
+};
+
+KCM_JSON(PeerNote, address, cpu_capacity, is_store_remote, heard_ms)
+
 /// State of one entry process, and the newest state of the term holder that it
 /// has received.
 struct PeerHeartbeat {
   std::string name;
   /// Address for the sender's peers, as "host:port".
   std::string address;
+  /// Processor capacity of the sender's VM in cores; zero if it is unknown or
+  /// the sender cannot hold the term now.
+  double cpu_capacity = 0;
+  /// The store is in another region than the sender.
+  bool is_store_remote = false;
   /// Version of the routes in force at the sender.
   std::int64_t routes_version = 0;
   /// Epoch of the newest term in the sender's view; zero for none.
@@ -37,11 +54,15 @@
   std::map<std::string, std::int64_t> pending;
   /// Addresses of processes with recent contact to the sender.
   std::vector<std::string> peers;
+  /// State of some of these processes.
+  std::vector<PeerNote> notes;
 };
 
 KCM_JSON(PeerHeartbeat,
          name,
          address,
+         cpu_capacity,
+         is_store_remote,
          routes_version,
          epoch,
          holder,
@@ -52,6 +73,7 @@
          storeless_ms,
          resigned,
          pending,
-         peers)
+         peers,
+         notes)
 
 }  // namespace kcm::entry
--- a/Libraries/LibEntry/peer_monitor.cc
+++ b/Libraries/LibEntry/peer_monitor.cc
@@ -24,6 +24,9 @@
 constexpr Millis kNewHolderGraceMs = 450;
 /// A process without contact for this long is not named to others.
 constexpr Millis kNamePeerForMs = 5000;
+/// Maximum age of the last heartbeat of a process that counts as alive: several
+/// heartbeats, which may reach this process through the holder.
+constexpr Millis kLivePeerMs = 3000;
 constexpr Millis kForgetPeerAfterMs = 120000;
 /// Maximum age of a queue length that is reported to callers.
 constexpr Millis kPendingMaxAgeMs = 1500;
@@ -65,6 +68,8 @@
   PeerHeartbeat heartbeat;
   heartbeat.name = name_;
   heartbeat.address = self_address_.ToString();
+  heartbeat.cpu_capacity = local_state.cpu_capacity;
+  heartbeat.is_store_remote = local_state.is_store_remote;
   heartbeat.routes_version = local_state.routes_version;
   heartbeat.epoch = holder_view_.epoch;
   heartbeat.holder = holder_view_.name;
@@ -84,6 +89,10 @@
   for (const auto& [address, peer] : peers_) {
     if (now - peer.last_contact_at < kNamePeerForMs) {
       heartbeat.peers.push_back(address.ToString());
+      if (peer.heard_at > 0) {
+        heartbeat.notes.push_back({address.ToString(), peer.cpu_capacity,
+                                   peer.is_store_remote, now - peer.heard_at});
+      }
     }
   }
   return heartbeat;
@@ -136,12 +145,16 @@
           return;
         }
         auto& monitor = **handle;
+        const auto is_answered = result.exchange == net::Exchange::kAnswered &&
+                                 result.response.status == net::kHttpOk;
         if (const auto found = monitor.peers_.find(address);
             found != monitor.peers_.end()) {
           found->second.in_flight = false;
+          if (!is_answered) {
+            found->second.failed_at = core::SuspendAwareNow();
+          }
         }
-        if (result.exchange != net::Exchange::kAnswered ||
-            result.response.status != net::kHttpOk) {
+        if (!is_answered) {
           return;
         }
         const auto document =
@@ -169,6 +182,9 @@
     return;
   }
   peer->last_contact_at = now;
+  peer->heard_at = now;
+  peer->cpu_capacity = heartbeat.cpu_capacity;
+  peer->is_store_remote = heartbeat.is_store_remote;
   peer->reaches_holder =
       heartbeat.hears_directly && heartbeat.epoch >= holder_view_.epoch;
   last_peer_contact_at_ = now;
@@ -177,6 +193,9 @@
   for (const auto& address : heartbeat.peers) {
     FindOrAddPeer(address);
   }
+  for (const auto& note : heartbeat.notes) {
+    MergeNote(note);
+  }
   MergeHolderView(heartbeat, *from);
   if (heartbeat.routes_version > local_state_().routes_version &&
       on_newer_routes_) {
@@ -184,6 +203,17 @@
   }
 }
 
+auto PeerMonitor::MergeNote(const PeerNote& note) -> void {
+  const auto heard_at = core::SuspendAwareNow() - note.heard_ms;
+  auto* peer = FindOrAddPeer(note.address);
+  if (peer == nullptr || heard_at <= peer->heard_at) {
+    return;
+  }
+  peer->heard_at = heard_at;
+  peer->cpu_capacity = note.cpu_capacity;
+  peer->is_store_remote = note.is_store_remote;
+}
+
 auto PeerMonitor::MergeHolderView(const PeerHeartbeat& heartbeat,
                                   const core::Address& from) -> void {
   const auto now = core::SuspendAwareNow();
@@ -255,6 +285,24 @@
   }
 }
 
+auto PeerMonitor::SelfAsCandidate() const -> Candidate {
+  const auto local_state = local_state_();
+  return {self_address_.ToString(), local_state.cpu_capacity,
+          local_state.is_store_remote};
+}
+
+auto PeerMonitor::LivePeers() const -> std::vector<Candidate> {
+  const auto now = core::SuspendAwareNow();
+  std::vector<Candidate> live;
+  for (const auto& [address, peer] : peers_) {
+    if (now - peer.heard_at < kLivePeerMs && peer.heard_at > peer.failed_at) {
+      live.push_back(
+          {address.ToString(), peer.cpu_capacity, peer.is_store_remote});
+    }
+  }
+  return live;
+}
+
 auto PeerMonitor::RouteToHolder() const -> std::optional<core::Address> {
   const auto now = core::SuspendAwareNow();
   if (holder_view_.epoch == 0 || holder_view_.resigned) {
--- a/Libraries/LibEntry/peer_monitor.h
+++ b/Libraries/LibEntry/peer_monitor.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "LibEntry/claim_order.h"
 #include "LibEntry/entry_settings.h"
 #include "LibEntry/holder_view.h"
 #include "LibEntry/peer_heartbeat.h"
@@ -29,6 +30,9 @@
     bool resigned = false;
     core::Millis store_outage_ms = 0;
     std::int64_t routes_version = 0;
+    /// In cores; zero if this process cannot hold the term now.
+    double cpu_capacity = 0;
+    bool is_store_remote = false;
     std::map<std::string, std::int64_t> pending;
   };
 
@@ -69,6 +73,11 @@
   }
   [[nodiscard]] auto has_peers() const -> bool { return !peers_.empty(); }
 
+  /// @return this process as a candidate for the term.
+  [[nodiscard]] auto SelfAsCandidate() const -> Candidate;
+  /// @return the peers that are known to be alive.
+  [[nodiscard]] auto LivePeers() const -> std::vector<Candidate>;
+
   /// @return where to send requests for the holder: the holder, or a peer with
   ///     contact to it if this process has none; nothing if there is neither.
   [[nodiscard]] auto RouteToHolder() const -> std::optional<core::Address>;
@@ -84,13 +93,21 @@
  private:
   struct Peer {
     core::Millis last_contact_at = 0;
+    /// Last contact with this process or, as reported by it, another one; zero
+    /// if there was none.
+    core::Millis heard_at = 0;
+    /// When a heartbeat to it last failed; zero if none did.
+    core::Millis failed_at = 0;
     bool reaches_holder = false;
+    double cpu_capacity = 0;
+    bool is_store_remote = false;
     bool in_flight = false;
   };
 
   [[nodiscard]] auto MakeHeartbeat() const -> PeerHeartbeat;
   auto SendHeartbeat(const core::Address& address) -> void;
   auto MergeHeartbeat(const PeerHeartbeat& heartbeat) -> void;
+  auto MergeNote(const PeerNote& note) -> void;
   auto SetHolder(const TermRow& term, core::Millis last_contact_at) -> void;
   auto MergeHolderView(const PeerHeartbeat& heartbeat,
                        const core::Address& from) -> void;
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -275,6 +275,13 @@
              : 0;
 }
 
+auto TermHolder::IsIdle() const -> bool {
+  const auto pending = dispatcher_.PendingByQueue();
+  return waiters_.empty() && !append_ &&
+         std::all_of(pending.begin(), pending.end(),
+                     [](const auto& entry) { return entry.second == 0; });
+}
+
 auto TermHolder::LogDecisions() -> void {
   for (const auto& decision : dispatcher_.TakeDecisions()) {
     core::LogEvent(decision.event, decision.fields);
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -72,6 +72,9 @@
   [[nodiscard]] auto term() const -> const TermRow& { return term_; }
   /// @return for how long the current append has failed; zero if it has not.
   [[nodiscard]] auto StoreOutageMs() const -> core::Millis;
+  /// @return whether no job is queued, no row is being stored and no request
+  ///     waits for its answer.
+  [[nodiscard]] auto IsIdle() const -> bool;
   /// @return the number of jobs in phase kQueued, by queue.
   [[nodiscard]] auto PendingByQueue() const
       -> std::map<std::string, std::int64_t> {
--- a/Tests/LibEntry/election_test.cc
+++ b/Tests/LibEntry/election_test.cc
@@ -75,5 +75,16 @@
   EXPECT_TRUE(election.PlanClaim({}, kNow, true, kNow + 800));
 }
 
+// A process that had held the term counted its claim delay from the vacancy
+// before its own term, so it claimed at once when it resigned.
+TEST(Election, WaitsForItsClaimDelayAfterItsOwnTerm) {
+  Election election({}, 200);
+  EXPECT_FALSE(election.PlanClaim({}, kNow, true, kNow));
+  EXPECT_TRUE(election.PlanClaim({}, kNow, true, kNow + 200));
+  election.RecordClaimWon();
+  EXPECT_FALSE(election.PlanClaim(Resigned(), kNow, true, kNow + 5000));
+  EXPECT_TRUE(election.PlanClaim(Resigned(), kNow, true, kNow + 5200));
+}
+
 }  // namespace
 }  // namespace kcm::entry
--- /dev/null
+++ b/Tests/LibEntry/entry_service_test.cc
@@ -0,0 +1,102 @@
+#include "LibEntry/entry_service.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+#include "unresponsive_workers.h"
+
+namespace kcm::entry {
+namespace {
+
+/// Several entry processes on one loop, with real connections between them.
+class EntryServiceTest : public testing::Test {
+ protected:
+  EntryServiceTest() {
+    core::Reason reason;
+    metrics_ = node::Metrics::create(loop_, {"127.0.0.1", 0}, reason);
+  }
+
+  /// @return an address on the loopback network that no other run uses.
+  static auto AddressOf(int index) -> core::Address {
+    const auto process = static_cast<int>(getpid());
+    return {"127." + std::to_string(1 + process / 250 % 250) + "." +
+                std::to_string(1 + process % 250) + "." +
+                std::to_string(1 + index),
+            7000};
+  }
+
+  /// Starts a process that has the first one as its seed.
+  auto Start(int index, double cpu_capacity) -> EntryService* {
+    EntrySettings settings;
+    settings.name = "p" + std::to_string(index);
+    settings.peer = AddressOf(index);
+    settings.seeds = {AddressOf(0)};
+    settings.cpu_capacity = cpu_capacity;
+    core::Reason reason;
+    services_.push_back(EntryService::create(
+        {loop_, http_, store_, workers_, decoders_, *metrics_}, settings,
+        reason));
+    EXPECT_NE(services_.back(), nullptr) << reason.message;
+    return services_.back().get();
+  }
+
+  auto RunFor(core::Millis span) -> void {
+    loop_.After(span, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
+  /// Runs until a condition holds or the time has passed.
+  auto RunUntil(const std::function<bool()>& reached, core::Millis limit)
+      -> bool {
+    const auto deadline = core::SuspendAwareNow() + limit;
+    while (!reached() && core::SuspendAwareNow() < deadline) {
+      RunFor(10);
+    }
+    return reached();
+  }
+
+  [[nodiscard]] auto StoredTerm() const -> TermRow {
+    const auto found = store_.state.find(kTermKey);
+    return found == store_.state.end()
+               ? TermRow{}
+               : FindTerm({{kTermKey, found->second}}).value_or(TermRow{});
+  }
+
+  net::EventLoop loop_;
+  net::HttpClient http_{loop_};
+  FakeStore store_{loop_};
+  UnresponsiveWorkers workers_;
+  PlatformDecoders decoders_;
+  std::unique_ptr<node::Metrics> metrics_;
+  std::vector<std::unique_ptr<EntryService>> services_;
+};
+
+// The first holder was a VM with a quarter of the capacity of others. It kept
+// the term until its processor was saturated, and lost it then.
+TEST_F(EntryServiceTest, TheTermMovesOnceToAClearlyLargerProcess) {
+  Start(0, 0.12);
+  ASSERT_TRUE(RunUntil([&] { return StoredTerm().epoch == 1; }, 2000));
+  Start(1, 0.5);
+  Start(2, 0.12);
+  ASSERT_TRUE(RunUntil([&] { return StoredTerm().name == "p1"; }, 5000));
+  EXPECT_EQ(StoredTerm().epoch, 2);
+  RunFor(3000);
+  EXPECT_EQ(StoredTerm().epoch, 2);
+}
+
+TEST_F(EntryServiceTest, TheTermStaysAmongEqualProcesses) {
+  Start(0, 0.25);
+  Start(1, 0.25);
+  Start(2, 0.25);
+  RunFor(5000);
+  EXPECT_EQ(StoredTerm().epoch, 1);
+}
+
+}  // namespace
+}  // namespace kcm::entry
--- a/Tests/LibEntry/peer_monitor_test.cc
+++ b/Tests/LibEntry/peer_monitor_test.cc
@@ -73,5 +73,21 @@
   EXPECT_EQ(monitor_.holder_view().address.ToString(), "10.0.0.2:1");
 }
 
+// A process that hears only the holder knew no other candidate when the holder
+// failed, and claimed before better suited ones.
+TEST_F(PeerMonitorTest, LearnsTheCapacityOfPeersFromTheHolder) {
+  auto heartbeat = MakeHeartbeat(3, "10.0.0.2:1", "10.0.0.2:1");
+  heartbeat.cpu_capacity = 0.25;
+  heartbeat.notes = {{"10.0.0.3:1", 0.5, true, 300},
+                     {"10.0.0.4:1", 0.5, false, 4000}};
+  Receive(heartbeat);
+  const auto live = monitor_.LivePeers();
+  ASSERT_EQ(live.size(), 2U);
+  EXPECT_EQ(live[0].cpu_capacity, 0.25);
+  EXPECT_EQ(live[1].address, "10.0.0.3:1");
+  EXPECT_EQ(live[1].cpu_capacity, 0.5);
+  EXPECT_TRUE(live[1].is_store_remote);
+}
+
 }  // namespace
 }  // namespace kcm::entry
--- a/Tests/LibEntry/term_holder_test.cc
+++ b/Tests/LibEntry/term_holder_test.cc
@@ -10,21 +10,11 @@
 
 #include "LibEntry/holder_client.h"
 #include "fake_store.h"
+#include "unresponsive_workers.h"
 
 namespace kcm::entry {
 namespace {
 
-/// Task port whose calls are never answered.
-class UnresponsiveWorkers : public platform::TaskPort {
- public:
-  auto Send(const dispatch::WorkerCall& call,
-            std::int64_t fence,
-            core::Millis timeout,
-            Done done) -> void override {
-    std::ignore = std::tuple(call, fence, timeout, done);
-  }
-};
-
 class TermHolderTest : public testing::Test {
  protected:
   TermHolderTest() {
--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -240,9 +240,38 @@
                  "bounds.reclaim_ms", "line 16"},
         NodeCase{"NoPort", "address = \"127.0.0.1:7003\"",
                  "address = \"127.0.0.1\"", "platform.address", "port"},
+        NodeCase{"BadShare", "checkpoint_s = 2",
+                 "checkpoint_s = 2\n[limits]\ncpu_share = -1",
+                 "limits.cpu_share", "line 20"},
         NodeCase{"NotToml", "[bounds]", "[bounds", "", "line 12"}),
     [](const auto& info) { return info.param.name; });
 
+struct CapacityCase {
+  const char* name;
+  const char* limits;
+  double cpu_capacity;
+};
+
+class NodeFileLimits : public testing::TestWithParam<CapacityCase> {};
+
+TEST_P(NodeFileLimits, GiveTheProcessorCapacity) {
+  core::Reason reason;
+  const auto settings =
+      ReadNodeText(std::string(kNodeText) + GetParam().limits, reason);
+  ASSERT_TRUE(settings) << reason.message;
+  EXPECT_EQ(settings->cpu_capacity, GetParam().cpu_capacity);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts,
+    NodeFileLimits,
+    testing::Values(CapacityCase{"None", "", 0},
+                    CapacityCase{"Share", "[limits]\ncpu_share = 0.25\n", 0.25},
+                    CapacityCase{"ShareOfCores",
+                                 "[limits]\ncpu_share = 0.25\ncores = 2\n",
+                                 0.5}),
+    [](const auto& info) { return info.param.name; });
+
 // A settings file with one damaged place is read, or refused with a reason.
 RC_GTEST_PROP(NodeFileRandom, IsReadOrRefusedWithAReason, ()) {
   std::string text = kNodeText;
