--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -1,9 +1,9 @@
 #include "LibEntry/entry_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibCore/event.h"
-#include "LibCore/stable_hash.h"
 #include "LibNet/http_status.h"
 
 namespace kcm::entry {
@@ -22,18 +22,14 @@
 /// How long the store may hold a read of the configuration. A change that it
 /// does not announce is found after this time at the latest.
 constexpr Millis kOperatorsWaitMs = 1000;
-/// Claims of the processes of one deployment are spread over this time.
-constexpr Millis kClaimSpreadMs = 200;
-/// A process in another region than the store claims this much later, because
-/// each of its appends would cross between regions.
-constexpr Millis kRemoteRegionDelayMs = 500;
+/// Reads of the term by which at least one round trip is not prolonged by load.
+constexpr int kMinTermReads = 5;
 /// A longer round trip to the store means that it is in another region.
 constexpr Millis kRemoteRegionRoundTripMs = 20;
 constexpr Millis kRelayedTimeoutMs = 700;
-
-auto ClaimDelayOf(const std::string& name) -> Millis {
-  return static_cast<Millis>(core::StableHash(name) % kClaimSpreadMs);
-}
+/// A process that the store has not answered for this long, some reads of the
+/// configuration, is no candidate for the term.
+constexpr Millis kStoreSilentMs = 3000;
 
 }  // namespace
 
@@ -74,6 +70,10 @@
              [this] {
                PeerMonitor::LocalState self;
                self.routes_version = routes_.version;
+               self.cpu_capacity = CandidateCapacity();
+               self.is_store_remote =
+                   term_reads_ > 0 &&
+                   min_store_round_trip_ms_ > kRemoteRegionRoundTripMs;
                self.resigned = draining_ && holder_ == nullptr &&
                                peers_.holder_view().address == settings_.peer;
                if (holder_ != nullptr) {
@@ -81,13 +81,18 @@
                  self.store_outage_ms = holder_->StoreOutageMs();
                  self.pending = holder_->PendingByQueue();
                }
+               if (state_reader_ != nullptr) {
+                 self.is_holder = true;
+                 self.is_recovering = true;
+                 self.store_outage_ms = state_reader_->StoreOutageMs();
+               }
                return self;
              }),
       holder_client_(dependencies.loop,
                      dependencies.http,
                      peers_,
                      [this] { return holder_; }),
-      election_({}, ClaimDelayOf(settings.name)) {}
+      election_({}, 0) {}
 
 auto EntryService::SetSettings(const EntrySettings& settings) -> void {
   settings_ = settings;
@@ -105,6 +110,9 @@
   const auto& holder = peers_.holder_view();
   return holder_ != nullptr ||
          (holder.epoch > 0 && !holder.resigned &&
+          (!holder.recovering_since ||
+           core::SuspendAwareNow() - *holder.recovering_since <
+               kHolderLostMs) &&
           core::SuspendAwareNow() - holder.last_contact_at < kHolderLostMs);
 }
 
@@ -125,19 +133,28 @@
       holder->StepDown();
     }
     holder->RunDueWork();
+    ResignToLargerPeer(now);
   }
   if (now >= next_heartbeat_at_) {
     next_heartbeat_at_ = now + kHeartbeatMs;
     peers_.SendDueHeartbeats();
   }
-  if (holder_ != nullptr || claiming_ || draining_) {
+  if (state_reader_ != nullptr &&
+      peers_.holder_view().epoch > won_claim_.term.epoch) {
+    state_reader_.reset();
+  }
+  if (holder_ != nullptr || state_reader_ != nullptr || claiming_ ||
+      draining_) {
     return;
   }
+  election_.set_claim_delay(
+      ClaimDelay(peers_.SelfAsCandidate(), peers_.LivePeers()));
   if (const auto plan = election_.PlanClaim(peers_.holder_view(),
                                             peers_.last_peer_contact_at(),
                                             peers_.has_peers(), now)) {
     StartClaim(*plan);
-  } else if (now >= next_term_read_at_ && !peers_.RouteToHolder()) {
+  } else if (now >= next_term_read_at_ &&
+             (term_reads_ < kMinTermReads || !peers_.RouteToHolder())) {
     next_term_read_at_ = now + kTermReadMs;
     ReadStoredTerm();
   }
@@ -151,10 +168,9 @@
         if (!read.answered) {
           return;
         }
-        const auto is_remote =
-            core::SuspendAwareNow() - sent_at > kRemoteRegionRoundTripMs;
-        election_.set_claim_delay(ClaimDelayOf(settings_.name) +
-                                  (is_remote ? kRemoteRegionDelayMs : 0));
+        ++term_reads_;
+        min_store_round_trip_ms_ = std::min(min_store_round_trip_ms_,
+                                            core::SuspendAwareNow() - sent_at);
         if (const auto term = FindTerm(read.rows)) {
           peers_.OnTermStored(*term);
         }
@@ -181,19 +197,51 @@
     peers_.OnTermStored(result.term);
     return;
   }
-  core::LogEvent(core::Event::kTermClaimed,
-                 {{"epoch", result.term.epoch}, {"rows", result.rows.size()}});
+  election_.RecordClaimWon();
   peers_.OnTermWon(result.term);
+  won_claim_ = std::move(result);
   if (draining_) {
-    peers_.OnTermEnded(result.term.epoch);
-    peers_.BroadcastHeartbeat();
+    AbandonRecovery();
+    return;
+  }
+  state_reader_ = std::make_unique<StateReader>(
+      dependencies_.loop, dependencies_.store,
+      [this](std::optional<std::vector<dispatch::StateRow>> rows) {
+        OnStateRead(std::move(rows));
+      });
+  state_reader_->Start();
+  // Otherwise others would claim the next term during the read.
+  peers_.BroadcastHeartbeat();
+}
+
+auto EntryService::AbandonRecovery() -> void {
+  state_reader_.reset();
+  core::LogEvent(core::Event::kTermResigned,
+                 {{"epoch", won_claim_.term.epoch}});
+  peers_.OnTermEnded(won_claim_.term.epoch);
+  peers_.BroadcastHeartbeat();
+}
+
+auto EntryService::OnStateRead(
+    std::optional<std::vector<dispatch::StateRow>> rows) -> void {
+  const auto term = rows ? FindTerm(*rows) : std::nullopt;
+  if (!term || term->epoch != won_claim_.term.epoch) {
+    election_.RecordClaimFailure(core::SuspendAwareNow());
+    AbandonRecovery();
     return;
   }
+  state_reader_.reset();
+  core::LogEvent(core::Event::kTermClaimed,
+                 {{"epoch", term->epoch}, {"rows", rows->size()}});
+  peers_.OnStateRead();
+  won_claim_.rows = std::move(*rows);
   holder_ = std::make_shared<TermHolder>(
       TermHolderDependencies{dependencies_.loop, dependencies_.store,
                              dependencies_.tasks, dependencies_.decoders,
                              dependencies_.metrics},
-      settings_, result, [this] { OnTermLost(); });
+      settings_, won_claim_, [this] { OnTermLost(); });
+  won_claim_.rows.clear();
+  held_since_ = core::SuspendAwareNow();
   holder_->SetRoutes(routes_);
   holder_->Start();
   peers_.BroadcastHeartbeat();
@@ -211,9 +259,33 @@
 
 auto EntryService::Drain() -> void {
   draining_ = true;
-  if (holder_ == nullptr) {
+  if (state_reader_ != nullptr) {
+    AbandonRecovery();
+  } else if (holder_ != nullptr) {
+    ResignTerm();
+  }
+}
+
+auto EntryService::CandidateCapacity() const -> double {
+  const auto is_candidate =
+      !draining_ && operators_follower_ != nullptr &&
+      core::SuspendAwareNow() - operators_follower_->answered_at() <
+          kStoreSilentMs;
+  return is_candidate ? settings_.cpu_capacity : 0;
+}
+
+auto EntryService::ResignToLargerPeer(Millis now) -> void {
+  if (holder_ == nullptr || draining_ || holder_->StoreOutageMs() > 0 ||
+      !handover_policy_.ShouldResign(peers_.SelfAsCandidate(),
+                                     peers_.LivePeers(), now - held_since_,
+                                     holder_->IsIdle(), now)) {
     return;
   }
+  handover_policy_.RecordResignation(now);
+  ResignTerm();
+}
+
+auto EntryService::ResignTerm() -> void {
   holder_->Resign([this] {
     if (holder_ == nullptr) {
       return;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,10 +10,12 @@
 #include "LibEntry/client_request_handler.h"
 #include "LibEntry/election.h"
 #include "LibEntry/entry_settings.h"
+#include "LibEntry/handover_policy.h"
 #include "LibEntry/holder_client.h"
 #include "LibEntry/peer_monitor.h"
 #include "LibEntry/platform_decoders.h"
 #include "LibEntry/route_table.h"
+#include "LibEntry/state_reader.h"
 #include "LibEntry/table_follower.h"
 #include "LibEntry/term_holder.h"
 #include "LibNet/event_loop.h"
@@ -65,8 +68,15 @@
   EntryService(EntryDependencies dependencies, const EntrySettings& settings);
 
   auto RunDueWork() -> void;
+  /// @return capacity for holding the term; zero if this process cannot.
+  [[nodiscard]] auto CandidateCapacity() const -> double;
+  auto ResignToLargerPeer(core::Millis now) -> void;
+  auto ResignTerm() -> void;
   auto StartClaim(const ClaimPlan& plan) -> void;
   auto OnClaimed(ClaimResult result) -> void;
+  auto OnStateRead(std::optional<std::vector<dispatch::StateRow>> rows) -> void;
+  /// Gives up a term whose state has not been read.
+  auto AbandonRecovery() -> void;
   auto OnTermLost() -> void;
   auto ReadStoredTerm() -> void;
   auto OnOperatorRows(const std::vector<dispatch::StateRow>& rows) -> void;
@@ -81,12 +91,22 @@
   EntrySettings settings_;
   RouteTable routes_;
   std::shared_ptr<TermHolder> holder_;
+  /// Set while this process holds a term whose state it has not read yet.
+  std::unique_ptr<StateReader> state_reader_;
+  /// The last claim that was won.
+  ClaimResult won_claim_;
   bool draining_ = false;
   bool claiming_ = false;
   bool fetching_routes_ = false;
   PeerMonitor peers_;
   HolderClient holder_client_;
   Election election_;
+  HandoverPolicy handover_policy_;
+  core::Millis held_since_ = 0;
+  /// Answered reads of the term, and the shortest round trip of one.
+  int term_reads_ = 0;
+  core::Millis min_store_round_trip_ms_ =
+      std::numeric_limits<core::Millis>::max();
   std::unique_ptr<TableFollower> operators_follower_;
   std::unique_ptr<net::HttpServer> peer_server_;
   core::Millis next_heartbeat_at_ = 0;
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -69,7 +69,7 @@
       dispatcher_(settings.dispatch),
       fleet_(dependencies.decoders),
       sequence_(claim.sequence),
-      confirmed_at_(core::SuspendAwareNow()) {
+      confirmed_at_(claim.confirmed_at) {
   dispatcher_.Recover(claim.rows, LeasesOfFormerHolders(settings, term_));
 }
 
@@ -280,6 +280,13 @@
              : 0;
 }
 
+auto TermHolder::IsIdle() const -> bool {
+  const auto pending = dispatcher_.PendingByQueue();
+  return waiters_.empty() && !append_ &&
+         std::all_of(pending.begin(), pending.end(),
+                     [](const auto& entry) { return entry.second == 0; });
+}
+
 auto TermHolder::LogDecisions() -> void {
   for (const auto& decision : dispatcher_.TakeDecisions()) {
     core::LogEvent(decision.event, decision.fields);
--- a/Tests/LibEntry/term_holder_test.cc
+++ b/Tests/LibEntry/term_holder_test.cc
@@ -15,6 +15,7 @@
 
 #include "LibEntry/holder_client.h"
 #include "fake_store.h"
+#include "unresponsive_workers.h"
 
 namespace kcm::entry {
 namespace {
