platform: Name the key and line of a bad address in the settings

What callers saw: kcm-entry answered a settings file with front = "nowhere" by '"nowhere" is not an address; allowed is IP:PORT ...', without key or line. Cause: ReadAddress() passed on ParseAddress()'s message, whose key is only in the reason's field, which main() does not print.

--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -239,7 +239,8 @@
         NodeCase{"NoNumber", "reclaim_ms = 2700", "reclaim_ms = nan",
                  "bounds.reclaim_ms", "line 16"},
         NodeCase{"NoPort", "address = \"127.0.0.1:7003\"",
-                 "address = \"127.0.0.1\"", "platform.address", "port"},
+                 "address = \"127.0.0.1\"", "platform.address",
+                 "platform.address in line 11"},
         NodeCase{"NotToml", "[bounds]", "[bounds", "", "line 12"}),
     [](const auto& info) { return info.param.name; });
 
