--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -601,6 +601,7 @@
         self.settings.write_text("\n".join(lines) + "\n")
 
     def start(self) -> None:
+        assert not self.runs(), f"{self.name} runs already"
         command = [str(cluster.BUILD / "kcm-entry"), "--config", str(self.settings)]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
--- a/Tests/System/entry_soak_test.py
+++ b/Tests/System/entry_soak_test.py
@@ -212,6 +212,7 @@
         self.platform = EntryPlatform(VMS, MACHINES, seed, self.referee, MAX_HOLD_MS)
         self.log = self.referee.log
         self.ends_at = 0.0
+        self.leaving: set[str] = set()  # VMs that were told to end and will start again
         self.background: set[asyncio.Task[None]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -258,13 +259,14 @@
             self.hit(last, signal.SIGKILL, dice)
 
     def hit(self, vm: EntryVm, how: signal.Signals, dice: random.Random) -> None:
-        if not vm.runs() or vm.frozen:
+        if not vm.runs() or vm.frozen or (vm.name in self.leaving and how != signal.SIGKILL):
             return
         self.log(f"fault {how.name} {vm.name}")
         vm.send(how)
         if how == signal.SIGSTOP:
             self.spawn(self.thaw(vm, dice.uniform(1, 4)))
-        else:
+        elif vm.name not in self.leaving:
+            self.leaving.add(vm.name)
             self.spawn(self.restart(vm, dice.uniform(0.2, 2)))
 
     async def thaw(self, vm: EntryVm, delay: float) -> None:
@@ -279,6 +281,7 @@
         await asyncio.sleep(delay)
         self.log(f"fault start {vm.name}")
         vm.start()
+        self.leaving.remove(vm.name)
 
     async def harm_store(self, dice: random.Random) -> None:
         store = self.platform.store
