--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -669,6 +669,14 @@
         return Server(lambda request: self.store.answer(vm.name, request), address)
 
     async def __aenter__(self) -> "EntryPlatform":
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         self.configure(1)
         for server in self.store_servers.values():
             await server.open()
@@ -680,7 +688,7 @@
             vm.start()
         for vm in self.vms:
             await until(lambda vm=vm: self.is_ready(vm), f"{vm.name} is ready")
-        return self
+            assert vm.runs(), f"another process answers for {vm.name}"
 
     async def __aexit__(self, *_: object) -> None:
         if self.ticker:
