LibDispatch: Look for the next eviction of a worker once

For each task of a gang the search of evictions sorted the runs of all workers anew, though placing a task changes only the worker on which it was placed. The chosen runs are the same.

--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -317,23 +317,31 @@
           {&worker, index, free, std::vector<bool>(worker.runs.size()), 0});
     }
   }
+  // Placing a task changes the next eviction of its worker only.
+  std::vector<std::optional<Eviction>> evictions;
+  const auto next_eviction = [&](const VictimSelector& selector) {
+    fleet.CountWorkers(1);
+    fleet.CountRuns(selector.worker->runs.size());
+    return selector.NextEviction(request);
+  };
+  evictions.reserve(selectors.size());
+  for (const auto& selector : selectors) {
+    evictions.push_back(next_eviction(selector));
+  }
   EvictionPlan plan;
   for (std::int64_t task = 0; task < request.tasks; ++task) {
-    VictimSelector* best = nullptr;
-    std::optional<Eviction> cheapest;
-    fleet.CountWorkers(selectors.size());
-    for (auto& selector : selectors) {
-      fleet.CountRuns(selector.worker->runs.size());
-      auto next = selector.NextEviction(request);
-      if (next && (!cheapest || next->loss < cheapest->loss)) {
-        cheapest = std::move(next);
-        best = &selector;
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < evictions.size(); ++index) {
+      if (evictions[index] &&
+          (!best || evictions[index]->loss < evictions[*best]->loss)) {
+        best = index;
       }
     }
-    if (best == nullptr) {
+    if (!best) {
       return std::nullopt;
     }
-    best->Commit(*cheapest, request, plan);
+    selectors[*best].Commit(*evictions[*best], request, plan);
+    evictions[*best] = next_eviction(selectors[*best]);
   }
   return plan;
 }
