LibDispatch tests: Build the cost tests with the merged leases

An empty value means the same as the 0 before: no former holder has granted leases. No check changes.

--- a/Tests/LibDispatch/dispatcher_cost_test.cc
+++ b/Tests/LibDispatch/dispatcher_cost_test.cc
@@ -26,7 +26,7 @@
 class AnsweringFleet {
  public:
   explicit AnsweringFleet(int workers) {
-    dispatcher.Recover({}, 0);
+    dispatcher.Recover({}, {});
     dispatcher.SetQueues({{"urgent", {"pool", 0, 2, 1.5, 500}},
                           {"batch", {"pool", 1, 4, 3, 1200}}});
     for (int number = 0; number < workers; ++number) {
