LibEntry: Let equally suited processes claim one after the other

Seen in the logs: a dozen processes claimed at the same moment after a loss of the holder, each at a hash of its name within 200 ms. Now a process that knows live peers claims 40 ms later for each of them that is better suited or equal with a lower hash, at most five of them; one that knows none waits a hash within 200 ms as before.

Evidence: ClaimOrder.EquallySuitedProcessesClaimOneAfterTheOther failed with the hash alone. After: TestLibEntry 52 of 52.

--- a/Libraries/LibEntry/claim_order.cc
+++ b/Libraries/LibEntry/claim_order.cc
@@ -10,8 +10,13 @@
 
 using core::Millis;
 
-/// Claims of equally suited processes are spread over this time.
+/// Claims of processes that know no other one are spread over this time.
 constexpr Millis kClaimSpreadMs = 200;
+/// Time in which a claim is decided and announced, round trips included.
+constexpr Millis kRankDelayMs = 40;
+/// Processes of this rank and above claim together: by then, those before them
+/// have probably failed with the holder.
+constexpr Millis kMaxRank = 5;
 /// A process with a far better equipped peer claims this much later: one
 /// heartbeat, by which processes can differ in when they find a holder lost.
 constexpr Millis kLessCapacityDelayMs = 300;
@@ -29,6 +34,23 @@
          candidate.cpu_capacity >= kClearRatio * other.cpu_capacity;
 }
 
+auto ClaimSpread(const Candidate& self,
+                 const std::vector<Candidate>& live_peers) -> Millis {
+  const auto hash = core::StableHash(self.address);
+  if (live_peers.empty()) {
+    return static_cast<Millis>(hash % kClaimSpreadMs);
+  }
+  const auto rank = std::count_if(
+      live_peers.begin(), live_peers.end(), [&](const Candidate& peer) {
+        return peer.is_store_remote == self.is_store_remote &&
+               (peer.cpu_capacity > self.cpu_capacity ||
+                (peer.cpu_capacity == self.cpu_capacity &&
+                 core::StableHash(peer.address) < hash));
+      });
+  return std::min<Millis>(rank, kMaxRank) * kRankDelayMs +
+         static_cast<Millis>(hash % kRankDelayMs);
+}
+
 auto ClaimDelay(const Candidate& self, const std::vector<Candidate>& live_peers)
     -> Millis {
   const auto is_outclassed = std::any_of(
@@ -36,9 +58,8 @@
         return HasClearlyMoreCapacity(peer, self) &&
                (!peer.is_store_remote || self.is_store_remote);
       });
-  const auto spread =
-      static_cast<Millis>(core::StableHash(self.address) % kClaimSpreadMs);
-  return spread + (is_outclassed ? kLessCapacityDelayMs : 0) +
+  return ClaimSpread(self, live_peers) +
+         (is_outclassed ? kLessCapacityDelayMs : 0) +
          (self.is_store_remote ? kRemoteRegionDelayMs : 0);
 }
 
--- a/Libraries/LibEntry/claim_order.h
+++ b/Libraries/LibEntry/claim_order.h
@@ -24,6 +24,12 @@
 [[nodiscard]] auto HasClearlyMoreCapacity(const Candidate& candidate,
                                           const Candidate& other) -> bool;
 
+/// @return the part of ClaimDelay() that makes equally suited processes claim
+///     one after the other: by capacity, then by a hash of the address.
+[[nodiscard]] auto ClaimSpread(const Candidate& self,
+                               const std::vector<Candidate>& live_peers)
+    -> core::Millis;
+
 /// @param live_peers the other processes known to be alive.
 /// @return how long the term must be vacant before a process claims it: longer
 ///     for one in another region than the store, and for one that knows a peer
