--- a/Tests/System/entry_soak_test.py
+++ b/Tests/System/entry_soak_test.py
@@ -1,7 +1,7 @@
 """Jobs survive overlapping series of takeovers, store faults and worker faults.
 
 Three kcm-entry processes run on the stand-in of the users' platform. In CI:
-    KCM_SOAK_SEEDS    seeds, separated by blanks (default "1 2")
+    KCM_SOAK_SEEDS    seeds, separated by blanks (default "9 12")
     KCM_SOAK_SECONDS  how long faults last for each seed (default 20)
 By hand, which prints each failing seed with its command:
     python3 Tests/System/entry_soak_test.py [BUILD] --seeds FROM TO
@@ -27,7 +27,7 @@
 from entry_platform import API_KEY, HOST, MAX_ATTEMPTS, PREFIX, Client, EntryPlatform, EntryVm
 from entry_platform import Machine, Message, Run, Worker
 
-SEEDS = [int(seed) for seed in os.environ.get("KCM_SOAK_SEEDS", "1 2").split()]
+SEEDS = [int(seed) for seed in os.environ.get("KCM_SOAK_SEEDS", "9 12").split()]
 FAULT_SECONDS = float(os.environ.get("KCM_SOAK_SECONDS", "20"))
 VMS, MACHINES, CLIENTS = 3, 6, 6
 MAX_HOLD_MS = 3000
