LibDispatch: Renew leases as soon as a lease row's deletion is stored

A worker that answers again gets no lease before the deletion of its row is stored. The poll sent meanwhile carried no lease and waited up to a second for an end, so the renewal came up to a second late and work on a worker that was cut off for seconds could lapse although it answered in time.

While grants are paused, polls do not wait and are 500 ms apart; once the deletion is stored, the worker is polled at once. Starts are not due before that either, so that their sessions are not asked for calls at each pass.

--- a/Libraries/LibDispatch/dispatcher_leases.cc
+++ b/Libraries/LibDispatch/dispatcher_leases.cc
@@ -10,11 +10,8 @@
 auto Dispatcher::PlacedIncarnations() const
     -> std::map<std::string, std::int64_t> {
   std::map<std::string, std::int64_t> incarnations;
-  for (const auto& [id, job] : job_table_.jobs()) {
-    if (IsEnded(job.phase)) {
-      continue;
-    }
-    for (const auto& step : job.steps) {
+  for (const auto& [id, job] : job_table_.live_jobs()) {
+    for (const auto& step : job->steps) {
       for (const auto& task : step.tasks) {
         if (task.phase == TaskPhase::kPlaced) {
           auto& newest = incarnations[task.worker];
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -57,10 +57,12 @@
   const auto settings = settings_;
   const auto lease_row_written_at = lease_row_written_at_;
   const auto lease_row_deleted_in = lease_row_deleted_in_;
+  const auto grants_paused = grants_paused_;
   *this = WorkerSession(info, settings,
                         now + kMaxCallDelayMs + settings.max_lease_ms);
   lease_row_written_at_ = lease_row_written_at;
   lease_row_deleted_in_ = lease_row_deleted_in;
+  grants_paused_ = grants_paused;
   for (auto& run : unconfirmed) {
     run.phase = RunPhase::kStopping;
     run.start_sent = true;
@@ -156,6 +158,7 @@
     return std::nullopt;
   }
   lease_row_written_at_ = now;
+  grants_paused_ = true;
   return LeaseRowChange{std::max<core::Millis>(LastLeaseEnd(now) - now, 0)};
 }
 
@@ -179,6 +182,12 @@
   if (info_.address.host.empty()) {
     return calls;
   }
+  if (grants_paused_ && may_grant(stored)) {
+    grants_paused_ = false;
+    if (unanswered_polls_ == 0) {
+      next_poll_at_ = std::min(next_poll_at_, now);
+    }
+  }
   const auto may_grant_now = may_renew && may_grant(stored);
   if (has_answered_) {
     AddRunCalls(now, stored, may_grant_now, calls);
@@ -287,7 +296,7 @@
   if (waiting_poll_in_flight_ || !WantsPoll() || next_poll_at_ > now) {
     return;
   }
-  if (has_answered_ && !runs_.empty() && !unstored) {
+  if (has_answered_ && !runs_.empty() && !unstored && !grants_paused_) {
     poll.wait_ms = kPollWaitMs;
   }
   waiting_poll_in_flight_ = true;
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -88,7 +88,10 @@
 
   /// Takes over the lease row that a former holder stored: grants no lease
   /// until its deletion is stored.
-  auto AdoptLeaseRow(core::Millis now) -> void { lease_row_written_at_ = now; }
+  auto AdoptLeaseRow(core::Millis now) -> void {
+    lease_row_written_at_ = now;
+    grants_paused_ = true;
+  }
 
   /// Decides whether the worker's lease row changes. A row is written while the
   /// worker, which has runs, gets no renewals, and deleted when it answers.
@@ -175,10 +178,11 @@
     return !has_answered_ || !is_idle() || stored_end_ > acknowledged_end_;
   }
   /// @return whether a call about the run is to be sent in its phase.
-  [[nodiscard]] static auto WantsCall(const Run& run, std::uint64_t stored)
+  [[nodiscard]] auto WantsCall(const Run& run, std::uint64_t stored) const
       -> bool {
     return !run.call_in_flight &&
-           ((run.phase == RunPhase::kStarting && run.batch <= stored) ||
+           ((run.phase == RunPhase::kStarting && run.batch <= stored &&
+             may_grant(stored)) ||
             (run.phase == RunPhase::kStopping && !run.stop_confirmed_at));
   }
   auto ApplyReportedEnds(const PollReport& report, std::vector<EndedRun>& gone)
@@ -205,6 +209,8 @@
   std::optional<core::Millis> lease_row_written_at_;
   /// Batch with the newest deletion of the lease row.
   std::uint64_t lease_row_deleted_in_ = 0;
+  /// A lease row was written, and its deletion is not known to be stored.
+  bool grants_paused_ = false;
   std::map<TaskId, Run> runs_;
   std::map<OrphanRunKey, OrphanRun> orphan_runs_;
   Resources used_;
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Interval between polls while reported ends are not stored yet.
+/// Interval between polls while reported ends or the deletion of a lease row
+/// are not stored yet.
 constexpr core::Millis kUnstoredPauseMs = 500;
 
 }  // namespace
@@ -35,7 +36,9 @@
   ApplyReportedEnds(*result.report, gone);
   ApplyReportedRuns(*result.report, sent_at, now, gone);
   if (!call.immediate) {
-    next_poll_at_ = reported_end_ > stored_end_ ? now + kUnstoredPauseMs : now;
+    next_poll_at_ = reported_end_ > stored_end_ || grants_paused_
+                        ? now + kUnstoredPauseMs
+                        : now;
   }
   return gone;
 }
