LibEntry: Let only the holder report the end of its own term

Cause, found by the review of the incident: a peer that reads a new term from the store before its winner has handled the answer to the claim gets an answer without the term, marks the term as resigned and reports it to all. The winner accepted that report about itself and passed it on in each answer, so that all saw a vacancy. The slower the winner's loop, the wider the window.

Fix: a process that holds the term ignores reports that it resigned. AHolderIgnoresReportsThatItResigned failed before. How often it took part in the incident is not known: logs do not show who first reported a resignation.

--- a/Libraries/LibEntry/peer_monitor.cc
+++ b/Libraries/LibEntry/peer_monitor.cc
@@ -238,7 +238,9 @@
   }
   holder_view_.last_contact_at =
       std::max(holder_view_.last_contact_at, now - heartbeat.heard_ms);
-  holder_view_.resigned = holder_view_.resigned || heartbeat.resigned;
+  if (heartbeat.resigned && !local_state_().is_holder) {
+    holder_view_.resigned = true;
+  }
   if (from != holder_view_.address) {
     return;
   }
--- a/Tests/LibEntry/peer_monitor_test.cc
+++ b/Tests/LibEntry/peer_monitor_test.cc
@@ -35,8 +35,8 @@
 
   net::EventLoop loop_;
   net::HttpClient http_{loop_};
-  PeerMonitor monitor_{http_, Settings(),
-                       [] { return PeerMonitor::LocalState{}; }};
+  PeerMonitor::LocalState local_state_;
+  PeerMonitor monitor_{http_, Settings(), [this] { return local_state_; }};
 };
 
 // A holder that lost its term marked its successor's term as resigned and
@@ -50,6 +50,19 @@
   EXPECT_TRUE(monitor_.RouteToHolder());
 }
 
+// Guards against a live term that its own holder reports as resigned: a peer
+// that read the term from the store before the winner had handled the answer to
+// its claim took it for resigned, and told the winner.
+TEST_F(PeerMonitorTest, AHolderIgnoresReportsThatItResigned) {
+  monitor_.OnTermWon({2, "self", {"127.0.0.1", 9}});
+  local_state_.is_holder = true;
+  auto report = MakeHeartbeat(2, "127.0.0.1:9", "10.0.0.2:1");
+  report.resigned = true;
+  const auto answer = monitor_.HandleHeartbeat(report);
+  EXPECT_FALSE(answer.resigned);
+  EXPECT_FALSE(monitor_.holder_view().resigned);
+}
+
 TEST_F(PeerMonitorTest, ARestartedHolderWithoutItsTermCountsAsResigned) {
   Receive(MakeHeartbeat(3, "10.0.0.2:1", "10.0.0.2:1"));
   auto restarted = MakeHeartbeat(0, ":0", "10.0.0.2:1");
