--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -15,10 +15,9 @@
 /// Events within this time share a planning pass. Urgent work has an objective
 /// of 500 ms, of which the pause may take a small part.
 constexpr core::Millis kMinPlanPauseMs = 20;
-/// Items that planning may look at per millisecond, on average: a quarter of
-/// the smallest processor share, an eighth of a core, at some 60 ns an item. A
-/// longer pass is followed by a longer pause, so that calls to workers and the
-/// store are never behind planning.
+/// Items that planning may look at per millisecond, on average. A longer pass
+/// is followed by a longer pause, so that planning leaves time for calls to
+/// workers and the store.
 constexpr std::int64_t kPlanWorkPerMs = 500;
 /// An urgent step without a guarantee evicts again after this time.
 constexpr core::Millis kEvictionMs = 800;
