LibDispatch: Log how calls to an unreachable worker fail, and where workers are listed

A worker that crashed, one that is cut off and one that has left all look the same in the log: nothing is written until their leases lapse, some ten seconds later. Whether the holder could have known sooner that the runs were gone, from a refused connection, from an answer of another worker at the address or from the listing, cannot be told. worker_unreachable now names how a poll failed, one line each time that changes, and worker_listed names the address.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -111,10 +111,12 @@
     call_schedule_.SetDueNow(info.id);
     if (is_new || old_incarnation != info.incarnation ||
         was_draining != info.draining) {
-      RecordDecision(core::Event::kWorkerListed, {{"worker", info.id},
-                                                  {"life", info.incarnation},
-                                                  {"rack", info.rack},
-                                                  {"draining", info.draining}});
+      RecordDecision(core::Event::kWorkerListed,
+                     {{"worker", info.id},
+                      {"life", info.incarnation},
+                      {"rack", info.rack},
+                      {"address", info.address.ToString()},
+                      {"draining", info.draining}});
     }
   }
   health_.set_fleet_size(workers.size());
@@ -247,6 +249,7 @@
   } else if (const auto* stop = std::get_if<StopCall>(&call.command)) {
     session.OnStop(*stop, result, now.steady);
   } else if (const auto* poll = std::get_if<PollCall>(&call.command)) {
+    const auto former_failure = session.poll_failure();
     // The former incarnation's runs are gone, whatever the new one reports.
     const auto is_reborn = result.report && result.report->incarnation > 0 &&
                            result.report->incarnation != call.incarnation;
@@ -262,10 +265,19 @@
                      {{"worker", call.worker},
                       {"life", result.report->incarnation},
                       {"rack", session.info().rack},
+                      {"address", session.info().address.ToString()},
                       {"draining", false}});
     } else if (result.report) {
       ObserveWitness(call.worker, *result.report, now);
     }
+    if (session.poll_failure() && session.poll_failure() != former_failure &&
+        !session.is_idle()) {
+      RecordDecision(core::Event::kWorkerUnreachable,
+                     {{"worker", call.worker},
+                      {"how", core::NameOf(*session.poll_failure())},
+                      {"ended", result.connection_ended},
+                      {"runs", session.runs().size()}});
+    }
     session.AcknowledgeEndsAfter(BatchOfNewestRows());
   }
   next_plan_at_ = std::min(next_plan_at_, now.steady);
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -156,6 +156,10 @@
   [[nodiscard]] auto is_answering() const -> bool {
     return has_answered_ && unanswered_polls_ == 0;
   }
+  /// @return how the newest poll failed; nothing if it was answered.
+  [[nodiscard]] auto poll_failure() const -> std::optional<CallEnd> {
+    return poll_failure_;
+  }
   /// @return what the worker's clock shows now, at most; nothing for a worker
   ///     that does not answer or leaves.
   [[nodiscard]] auto WitnessOf(core::Millis now) const
@@ -255,6 +259,7 @@
   bool immediate_poll_wanted_ = false;
   core::Millis next_poll_at_ = 0;
   int unanswered_polls_ = 0;
+  std::optional<CallEnd> poll_failure_;
   /// When it ended the connection of a poll, about when it was to leave;
   /// nothing if it has answered a poll that was sent later.
   std::optional<core::Millis> ended_connection_at_;
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -30,6 +30,7 @@
   if (result.end != CallEnd::kDone || !result.report ||
       result.report->incarnation != info_.incarnation) {
     ++unanswered_polls_;
+    poll_failure_ = result.end;
     if (result.connection_ended && leaves_at_ &&
         now >= *leaves_at_ - kLeaveTimeErrorMs) {
       ended_connection_at_ = now;
@@ -41,6 +42,7 @@
   clock_.ObserveSince(result.report->clock_ms, sent_at);
   has_answered_ = true;
   unanswered_polls_ = 0;
+  poll_failure_.reset();
   if (ended_connection_at_ && sent_at > *ended_connection_at_) {
     ended_connection_at_.reset();
   }
