LibDispatch tests: Show that tasks of crashed workers wait for their leases

A worker that crashes comes back under another id at the address it had. The holder sees only its silence and waits for the leases, ten seconds, while another worker answers at the address and is listed there.

--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -35,6 +35,10 @@
   /// A holder stores its row this often, and grants leases for this long after.
   static constexpr core::Millis kTermRenewalMs = 800;
   static constexpr core::Millis kMaxUnconfirmedMs = 4000;
+  /// Time from the start of a worker until it is listed, and from a crash until
+  /// the worker is listed no more.
+  static constexpr core::Millis kListingMs = 300;
+  static constexpr core::Millis kUnlistedAfterMs = 4500;
 
   explicit DispatchSimulation(std::uint32_t seed = 1)
       : random_(seed), dispatcher_(std::make_unique<Dispatcher>(Settings())) {
@@ -57,7 +61,8 @@
       info.id = "w" + std::to_string(workers.size());
       info.incarnation = 1;
       info.service = "pool";
-      info.address = {"10.0.0.1", 1};
+      info.address = {"10.0.0.1",
+                      static_cast<std::uint16_t>(workers.size() + 1)};
       info.rack =
           "r" + std::to_string(static_cast<int>(workers.size()) / per_rack);
       info.labels = {"a", info.rack};
@@ -66,6 +71,39 @@
     }
   }
 
+  /// Lets a worker crash, and another one start at its address.
+  /// @param down_for how long nothing answers there.
+  /// @param is_listed whether the platform lists the new worker.
+  /// @return the id of the new worker.
+  auto CrashAndReplace(const std::string& id,
+                       core::Millis down_for,
+                       bool is_listed = true) -> std::string {
+    auto& crashed = workers.at(id);
+    stale_listings[id] = crashed.info();
+    for (const auto& run : crashed.Crash(now)) {
+      if (run.work.gang) {
+        BreakGang(run);
+      }
+    }
+    crashed.set_up(false);
+    auto info = crashed.info();
+    info.id = "w" + std::to_string(workers.size());
+    info.incarnation = now + down_for;
+    auto& next = workers.emplace(info.id, FakeWorker(info)).first->second;
+    next.set_up(false);
+    unlisted.insert(info.id);
+    Schedule(down_for, [this, id, next_id = info.id] {
+      workers.at(next_id).set_up(true);
+      replaced.insert(id);
+    });
+    if (is_listed) {
+      Schedule(down_for + kListingMs,
+               [this, next_id = info.id] { unlisted.erase(next_id); });
+    }
+    Schedule(kUnlistedAfterMs, [this, id] { unlisted.insert(id); });
+    return info.id;
+  }
+
   static auto Step(std::int64_t tasks,
                    std::int64_t accelerators,
                    core::Millis run_ms) -> StepSpec {
@@ -200,6 +238,8 @@
   std::set<std::string> unreachable;
   /// What the platform still lists of workers that have changed since.
   std::map<std::string, WorkerInfo> stale_listings;
+  /// Crashed workers whose addresses other workers have.
+  std::set<std::string> replaced;
   /// Unreachable workers that ended their connections when they became so.
   std::set<std::string> exited;
   /// Workers that do not answer the newest holder.
@@ -491,6 +531,14 @@
   auto DeliverCall(const WorkerCall& call, std::int64_t token, int generation)
       -> void {
     const auto there = RandomSpan(1, 20);
+    if (replaced.contains(call.worker)) {
+      CallResult refused;
+      refused.end = CallEnd::kOtherIncarnation;
+      Schedule(there, [this, call, refused, generation] {
+        SendResult(call, refused, generation);
+      });
+      return;
+    }
     if (unreachable.contains(call.worker) || !workers.at(call.worker).up() ||
         (generation == generation_ &&
          unreachable_for_newest.contains(call.worker))) {
