LibDispatch: Know that a worker crashed by its successor at the address

Cause: a crashed worker comes back after some seconds under another id, at the address it had. The holder saw only that polls of the former id failed, and waited for the leases. The answer 421, by which the new worker refuses calls that name another one, counted as silence, as did its listing.

Now a refusal with 421, or a silent worker at whose address a younger one is listed, ends all runs of the worker at once. That is safe: one address belongs to one worker at a time, so the former one is gone, and a start of it that is still under way is refused with 421 too. A worker that is only silent is waited for as before.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -58,6 +58,7 @@
     EventInfo{Event::kHolderChanged, "holder_changed", Severity::kInfo},
     EventInfo{Event::kRunMoved, "run_moved", Severity::kInfo},
     EventInfo{Event::kHolderLoad, "holder_load", Severity::kInfo},
+    EventInfo{Event::kWorkerReplaced, "worker_replaced", Severity::kWarning},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -56,6 +56,7 @@
   kHolderChanged = 329,
   kRunMoved = 330,
   kHolderLoad = 331,
+  kWorkerReplaced = 332,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -96,6 +96,7 @@
 auto Dispatcher::SetFleet(const std::vector<WorkerInfo>& workers,
                           ClockReading now) -> void {
   fleet_known_ = true;
+  newest_at_address_.clear();
   for (auto& [id, session] : sessions_) {
     session.SetListed(false);
   }
@@ -119,6 +120,10 @@
                       {"draining", info.draining}});
     }
   }
+  for (const auto& info : workers) {
+    auto& newest = newest_at_address_[info.address.ToString()];
+    newest = std::max(newest, info.incarnation);
+  }
   health_.set_fleet_size(workers.size());
   slow_workers_.set_fleet_size(workers.size());
   next_plan_at_ = 0;
@@ -225,11 +230,16 @@
                           ClockReading now) -> void {
   const auto found = sessions_.find(call.worker);
   if (found == sessions_.end() ||
-      found->second.info().incarnation != call.incarnation) {
+      found->second.info().incarnation != call.incarnation ||
+      found->second.is_replaced()) {
     return;
   }
   auto& session = found->second;
   call_schedule_.SetDueNow(call.worker);
+  if (result.end == CallEnd::kOtherIncarnation) {
+    EndReplacedWorker(call.worker, session, "another worker answers", now);
+    return;
+  }
   if (const auto* start = std::get_if<StartCall>(&call.command)) {
     if (result.end != CallEnd::kDone) {
       RecordDecision(core::Event::kStartRefused,
@@ -283,6 +293,32 @@
   next_plan_at_ = std::min(next_plan_at_, now.steady);
 }
 
+auto Dispatcher::IsReplacedInListing(const WorkerSession& session) const
+    -> bool {
+  if (session.is_idle() || session.is_replaced() || !session.poll_failure()) {
+    return false;
+  }
+  const auto newest =
+      newest_at_address_.find(session.info().address.ToString());
+  return newest != newest_at_address_.end() &&
+         newest->second > session.info().incarnation;
+}
+
+auto Dispatcher::EndReplacedWorker(const std::string& worker,
+                                   WorkerSession& session,
+                                   const char* evidence,
+                                   ClockReading now) -> void {
+  RecordDecision(core::Event::kWorkerReplaced,
+                 {{"worker", worker},
+                  {"address", session.info().address.ToString()},
+                  {"reason", evidence},
+                  {"runs", session.runs().size()}});
+  for (const auto& ended : session.ObserveReplacement()) {
+    ApplyRunEnd(worker, ended, now);
+  }
+  next_plan_at_ = std::min(next_plan_at_, now.steady);
+}
+
 auto Dispatcher::StopRun(const TaskId& id, StopCause cause, ClockReading now)
     -> void {
   auto* job = job_table_.FindJob(id.job);
@@ -334,6 +370,10 @@
     // A former bound may end before the listing shows that a start may have
     // reached a newer incarnation.
     if (fleet_known_) {
+      if (IsReplacedInListing(session->second)) {
+        EndReplacedWorker(session->first, session->second,
+                          "another worker is listed", now);
+      }
       auto gone = session->second.TakeLapsedRuns(now.steady);
       auto left = TakeRunsOfLeftWorker(session->second, now);
       std::move(left.begin(), left.end(), std::back_inserter(gone));
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -59,6 +59,7 @@
     if (may_run) {
       unconfirmed.push_back(std::move(ended.run));
     } else {
+      ended.worker_restarted = true;
       lost.push_back(std::move(ended));
     }
   }
@@ -101,6 +102,19 @@
   return lost;
 }
 
+auto WorkerSession::ObserveReplacement() -> std::vector<EndedRun> {
+  std::vector<EndedRun> lost;
+  // A start without an answer cannot take effect either: calls name the worker
+  // that they are meant for, and the new one refuses them.
+  while (!runs_.empty()) {
+    lost.push_back(RemoveRun(runs_.begin()->first, RunEnd::kLost));
+    lost.back().worker_restarted = true;
+  }
+  orphan_runs_.clear();
+  replaced_ = true;
+  return lost;
+}
+
 auto WorkerSession::UpdateLeaveTime(core::Millis now) -> void {
   if (!info_.draining) {
     leaves_at_.reset();
@@ -205,6 +219,9 @@
                               std::uint64_t stored,
                               TermPermit permit) -> std::vector<WorkerCall> {
   std::vector<WorkerCall> calls;
+  if (replaced_) {
+    return calls;
+  }
   while (!pending_acknowledgements_.empty() &&
          pending_acknowledgements_.front().batch <= stored) {
     stored_end_ =
@@ -238,7 +255,7 @@
   const auto add = [&next](core::Millis at) {
     next = std::min(next.value_or(at), at);
   };
-  if (info_.address.host.empty()) {
+  if (replaced_ || info_.address.host.empty()) {
     return next;
   }
   if (!waiting_poll_in_flight_ && WantsPoll()) {
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -24,6 +24,8 @@
 struct EndedRun {
   Run run;
   RunEnd how = RunEnd::kLost;
+  /// Another life of the worker has shown that it crashed.
+  bool worker_restarted = false;
 };
 
 /// A lease row that is to be written or deleted; see LeaseRow.
@@ -54,6 +56,10 @@
   /// @return runs that were lost with the previous incarnation.
   [[nodiscard]] auto ObserveRebirth(std::int64_t incarnation, core::Millis now)
       -> std::vector<EndedRun>;
+  /// Records that another worker has the address of this one, whose life is
+  /// over. Nothing is sent to it any more.
+  /// @return the runs that were lost with it.
+  [[nodiscard]] auto ObserveReplacement() -> std::vector<EndedRun>;
   /// Sets whether the platform currently lists the worker.
   auto SetListed(bool listed) -> void { listed_ = listed; }
 
@@ -144,8 +150,9 @@
 
   /// @return whether new runs may be placed.
   [[nodiscard]] auto is_usable() const -> bool {
-    return listed_ && !unlisted_incarnation_until_ && has_answered_ &&
-           !info_.draining && unanswered_polls_ == 0 && orphan_runs_.empty();
+    return listed_ && !replaced_ && !unlisted_incarnation_until_ &&
+           has_answered_ && !info_.draining && unanswered_polls_ == 0 &&
+           orphan_runs_.empty();
   }
   /// @return the earliest time on the steady clock at which a draining worker
   ///     leaves; nothing for one that does not drain.
@@ -156,6 +163,8 @@
   [[nodiscard]] auto is_answering() const -> bool {
     return has_answered_ && unanswered_polls_ == 0;
   }
+  /// @return whether another worker has its address.
+  [[nodiscard]] auto is_replaced() const -> bool { return replaced_; }
   /// @return how the newest poll failed; nothing if it was answered.
   [[nodiscard]] auto poll_failure() const -> std::optional<CallEnd> {
     return poll_failure_;
@@ -229,6 +238,8 @@
   DispatchSettings settings_;
   std::shared_ptr<const FormerLeaseBound> former_leases_;
   bool listed_ = true;
+  /// Another worker has its address.
+  bool replaced_ = false;
   /// The incarnation is known from the worker's own answer. A listing that
   /// shows another one until then is an older one.
   std::optional<core::Millis> unlisted_incarnation_until_;
--- a/Tests/LibDispatch/crashed_workers_test.cc
+++ b/Tests/LibDispatch/crashed_workers_test.cc
@@ -44,16 +44,13 @@
   ASSERT_TRUE(simulation.RunUntil(runs_whole, 2000));
   simulation.Run(900);
   simulation.AddWorkers(2);
-  simulation.CrashAndReplace("w0", kDownMs, GetParam().listed);
+  simulation.CrashAndReplace("w0",
+                             {kDownMs, GetParam().refuses, GetParam().listed});
   simulation.Run(kDownMs / 2);
   if (GetParam().takeover) {
     simulation.ReplaceHolder();
   }
   simulation.Run(kDownMs / 2 + DispatchSimulation::kStepMs);
-  if (!GetParam().refuses) {
-    simulation.replaced.clear();
-    simulation.unreachable.insert("w0");
-  }
   EXPECT_EQ(simulation.RunUntil(runs_whole, kRestartMs),
             GetParam().restarts_early);
   EXPECT_TRUE(simulation.RunUntil(runs_whole, 12000));
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -27,6 +27,16 @@
   double delayed = 0;
 };
 
+/// A worker that starts at the address of a crashed one.
+struct Replacement {
+  /// How long nothing answers at the address.
+  core::Millis down_for = 0;
+  /// It refuses calls that are meant for the crashed worker.
+  bool refuses = true;
+  /// The platform lists it.
+  bool is_listed = true;
+};
+
 /// A term holder, its store and its workers on simulated time. Checks the
 /// invariants at each start and each end.
 class DispatchSimulation {
@@ -72,12 +82,9 @@
   }
 
   /// Lets a worker crash, and another one start at its address.
-  /// @param down_for how long nothing answers there.
-  /// @param is_listed whether the platform lists the new worker.
   /// @return the id of the new worker.
-  auto CrashAndReplace(const std::string& id,
-                       core::Millis down_for,
-                       bool is_listed = true) -> std::string {
+  auto CrashAndReplace(const std::string& id, const Replacement& replacement)
+      -> std::string {
     auto& crashed = workers.at(id);
     stale_listings[id] = crashed.info();
     for (const auto& run : crashed.Crash(now)) {
@@ -86,19 +93,20 @@
       }
     }
     crashed.set_up(false);
-    auto info = crashed.info();
+    auto info = stale_listings[id];
     info.id = "w" + std::to_string(workers.size());
-    info.incarnation = now + down_for;
-    auto& next = workers.emplace(info.id, FakeWorker(info)).first->second;
-    next.set_up(false);
+    info.incarnation = now + replacement.down_for;
+    workers.emplace(info.id, FakeWorker(info)).first->second.set_up(false);
     unlisted.insert(info.id);
-    Schedule(down_for, [this, id, next_id = info.id] {
-      workers.at(next_id).set_up(true);
-      replaced.insert(id);
+    Schedule(replacement.down_for, [this, id, replacement, next = info.id] {
+      workers.at(next).set_up(true);
+      if (replacement.refuses) {
+        replaced.insert(id);
+      }
     });
-    if (is_listed) {
-      Schedule(down_for + kListingMs,
-               [this, next_id = info.id] { unlisted.erase(next_id); });
+    if (replacement.is_listed) {
+      Schedule(replacement.down_for + kListingMs,
+               [this, next = info.id] { unlisted.erase(next); });
     }
     Schedule(kUnlistedAfterMs, [this, id] { unlisted.insert(id); });
     return info.id;
