--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -27,6 +27,16 @@
   double delayed = 0;
 };
 
+/// A worker that starts at the address of a crashed one.
+struct Replacement {
+  /// How long nothing answers at the address.
+  core::Millis down_for = 0;
+  /// It refuses calls that are meant for the crashed worker.
+  bool refuses = true;
+  /// The platform lists it.
+  bool is_listed = true;
+};
+
 /// A term holder, its store and its workers on simulated time. Checks the
 /// invariants at each start and each end.
 class DispatchSimulation {
@@ -35,6 +45,10 @@
   /// A holder stores its row this often, and grants leases for this long after.
   static constexpr core::Millis kTermRenewalMs = 800;
   static constexpr core::Millis kMaxUnconfirmedMs = 4000;
+  /// Time from the start of a worker until it is listed, and from a crash until
+  /// the worker is listed no more.
+  static constexpr core::Millis kListingMs = 300;
+  static constexpr core::Millis kUnlistedAfterMs = 4500;
 
   explicit DispatchSimulation(std::uint32_t seed = 1)
       : random_(seed), dispatcher_(std::make_unique<Dispatcher>(Settings())) {
@@ -57,7 +71,8 @@
       info.id = "w" + std::to_string(workers.size());
       info.incarnation = 1;
       info.service = "pool";
-      info.address = {"10.0.0.1", 1};
+      info.address = {"10.0.0.1",
+                      static_cast<std::uint16_t>(workers.size() + 1)};
       info.rack =
           "r" + std::to_string(static_cast<int>(workers.size()) / per_rack);
       info.labels = {"a", info.rack};
@@ -66,6 +81,37 @@
     }
   }
 
+  /// Lets a worker crash, and another one start at its address.
+  /// @return the id of the new worker.
+  auto CrashAndReplace(const std::string& id, const Replacement& replacement)
+      -> std::string {
+    auto& crashed = workers.at(id);
+    stale_listings[id] = crashed.info();
+    for (const auto& run : crashed.Crash(now)) {
+      if (run.work.gang) {
+        BreakGang(run);
+      }
+    }
+    crashed.set_up(false);
+    auto info = stale_listings[id];
+    info.id = "w" + std::to_string(workers.size());
+    info.incarnation = now + replacement.down_for;
+    workers.emplace(info.id, FakeWorker(info)).first->second.set_up(false);
+    unlisted.insert(info.id);
+    Schedule(replacement.down_for, [this, id, replacement, next = info.id] {
+      workers.at(next).set_up(true);
+      if (replacement.refuses) {
+        replaced.insert(id);
+      }
+    });
+    if (replacement.is_listed) {
+      Schedule(replacement.down_for + kListingMs,
+               [this, next = info.id] { unlisted.erase(next); });
+    }
+    Schedule(kUnlistedAfterMs, [this, id] { unlisted.insert(id); });
+    return info.id;
+  }
+
   static auto Step(std::int64_t tasks,
                    std::int64_t accelerators,
                    core::Millis run_ms) -> StepSpec {
@@ -200,6 +246,8 @@
   std::set<std::string> unreachable;
   /// What the platform still lists of workers that have changed since.
   std::map<std::string, WorkerInfo> stale_listings;
+  /// Crashed workers whose addresses other workers have.
+  std::set<std::string> replaced;
   /// Unreachable workers that ended their connections when they became so.
   std::set<std::string> exited;
   /// Workers that do not answer the newest holder.
@@ -491,6 +539,14 @@
   auto DeliverCall(const WorkerCall& call, std::int64_t token, int generation)
       -> void {
     const auto there = RandomSpan(1, 20);
+    if (replaced.contains(call.worker)) {
+      CallResult refused;
+      refused.end = CallEnd::kOtherIncarnation;
+      Schedule(there, [this, call, refused, generation] {
+        SendResult(call, refused, generation);
+      });
+      return;
+    }
     if (unreachable.contains(call.worker) || !workers.at(call.worker).up() ||
         (generation == generation_ &&
          unreachable_for_newest.contains(call.worker))) {
