LibEntry: Keep the number of waiting jobs while the next holder reads the state

Cause: a heartbeat of the holder's address always replaced the number of waiting jobs, also while that process still read the state, or had given the term up. Such a process counts no jobs, and its empty table meant zero for each queue.

Now only the heartbeat of a holder that has the state replaces it. Both cases of the test fail without the change.

--- a/Libraries/LibEntry/peer_monitor.cc
+++ b/Libraries/LibEntry/peer_monitor.cc
@@ -217,8 +217,10 @@
   } else {
     holder_view_.store_outage_since.reset();
   }
-  pending_ = heartbeat.pending;
-  pending_received_at_ = now;
+  if (heartbeat.is_holder && !heartbeat.is_recovering) {
+    pending_ = heartbeat.pending;
+    pending_received_at_ = now;
+  }
 }
 
 auto PeerMonitor::SetHolder(const TermRow& term, Millis last_contact_at)
--- a/Tests/LibEntry/peer_monitor_test.cc
+++ b/Tests/LibEntry/peer_monitor_test.cc
@@ -76,6 +76,37 @@
   EXPECT_FALSE(monitor_.RouteToHolder());
 }
 
+/// A heartbeat of a holder that cannot count jobs.
+struct UncountedCase {
+  const char* name;
+  bool is_holder;
+  bool is_recovering;
+};
+
+class PeerMonitorUncounted : public PeerMonitorTest,
+                             public testing::WithParamInterface<UncountedCase> {
+};
+
+// Guards against "no job waits" as the answer to callers while the next holder
+// reads the state, or the last one has resigned: neither counts jobs.
+TEST_P(PeerMonitorUncounted, DoesNotReplaceTheNumberOfWaitingJobs) {
+  auto heartbeat = MakeHeartbeat(3, "10.0.0.2:1", "10.0.0.2:1");
+  heartbeat.pending = {{"batch", 4}};
+  Receive(heartbeat);
+  heartbeat.pending.clear();
+  heartbeat.is_holder = GetParam().is_holder;
+  heartbeat.is_recovering = GetParam().is_recovering;
+  Receive(heartbeat);
+  EXPECT_EQ(monitor_.PendingJobs("batch"), 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Holders,
+    PeerMonitorUncounted,
+    testing::Values(UncountedCase{"Recovering", true, true},
+                    UncountedCase{"Resigned", false, false}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(PeerMonitorTest, RoutesThroughAPeerWithContactToTheHolder) {
   Receive(MakeHeartbeat(3, "10.0.0.2:1", "10.0.0.3:1"));
   const auto route = monitor_.RouteToHolder();
