LibCore: Write log lines and error bodies whatever text they hold

Seen by callers: a client that sends one path with a byte that is not UTF-8 (/q/%ff) ends the entry process; so does a relayed request, an answer to a heartbeat, or the key of a worker's entry with such a byte. Each process that reads the entry ends, and again after its restart.

Cause: LogEvent() and HttpReply::SendJson() encode strictly. Paths, keys and the messages of parse errors hold bytes as received, and the exception (json type_error.316) passes through the event loop. A value nested 100,000 times overflows the stack, as encoding recurses.

Bytes that are not UTF-8 are replaced now, a value that nests too deeply is named so, and both a value and a line have a maximum length, so no content from outside decides whether a line can be written.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -10,6 +10,7 @@
 
 #include "LibCore/check.h"
 #include "LibCore/clock.h"
+#include "LibCore/json_decode.h"
 #include "LibCore/non_blocking_appender.h"
 
 namespace kcm::core {
@@ -72,6 +73,10 @@
     EventInfo{Event::kReadyChanged, "ready_changed", Severity::kInfo},
 };
 
+/// A longer value is cut, and fields that do not fit are left out.
+constexpr std::size_t kMaxValueBytes = 2000;
+constexpr std::size_t kMaxFieldsBytes = 8000;
+
 struct LogOutput {
   std::string process;
   /// The name of the process as a JSON string.
@@ -94,12 +99,47 @@
   return kCatalogue.front();
 }
 
+/// @return a value as JSON, its beginning as a string if that is long.
+auto FormatValue(const Json& value) -> std::string {
+  if (IsTooDeep(value)) {
+    return "\"nested too deeply\"";
+  }
+  auto text = ToJsonText(value);
+  return text.size() <= kMaxValueBytes
+             ? text
+             : ToJsonText(text.substr(0, kMaxValueBytes) + "...");
+}
+
+/// @return an object with as many of the fields as fit in a line, each as
+///     FormatValue() returns it.
+auto FormatLongFields(const Json& fields) -> std::string {
+  std::string object = "{";
+  for (const auto& [name, value] : fields.items()) {
+    if (object.size() + name.size() > kMaxFieldsBytes) {
+      break;
+    }
+    object += (object.size() > 1 ? "," : "") + ToJsonText(name) + ":" +
+              FormatValue(value);
+  }
+  return object + "}";
+}
+
+auto FormatFields(const Json& fields) -> std::string {
+  if (fields.is_object() && !IsTooDeep(fields)) {
+    auto text = ToJsonText(fields);
+    if (text.size() <= kMaxFieldsBytes) {
+      return text;
+    }
+  }
+  return FormatLongFields(fields);
+}
+
 auto FormatLine(const EventInfo& info, const Json& fields) -> std::string {
   const auto number = static_cast<int>(info.event);
   if (Output().as_json) {
     std::string line = "{";
     if (!fields.empty()) {
-      line = fields.dump();
+      line = FormatFields(fields);
       line.back() = ',';
     }
     // Added to the text, these members cost no copy of the fields. They come
@@ -113,7 +153,10 @@
   std::string line = "K" + std::to_string(number) + " ";
   line += info.name;
   for (const auto& [key, value] : fields.items()) {
-    line += " " + key + "=" + value.dump();
+    if (line.size() + key.size() > kMaxFieldsBytes) {
+      break;
+    }
+    line += " " + key + "=" + FormatValue(value);
   }
   return line;
 }
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -99,7 +99,8 @@
                   bool as_json,
                   LogSink sink = LogSink::kStandardError) -> void;
 
-/// Logs one event with its fields.
+/// Logs one event with its fields. They may hold anything: bytes that are not
+/// UTF-8 are replaced, long values cut, and the line has a maximum length.
 auto LogEvent(Event event, const Json& fields = Json::object()) -> void;
 
 }  // namespace kcm::core
--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -13,6 +13,8 @@
 #include <cctype>
 #include <utility>
 
+#include "LibCore/json_decode.h"
+
 namespace kcm::net {
 
 namespace {
@@ -149,8 +151,9 @@
 }
 
 auto HttpReply::SendJson(int status, const core::Json& document) const -> void {
-  Send(
-      {status, {{"content-type", "application/json"}}, document.dump() + "\n"});
+  Send({status,
+        {{"content-type", "application/json"}},
+        core::ToJsonText(document) + "\n"});
 }
 
 auto HttpReply::SendError(const core::Reason& reason) const -> void {
