LibCore: Refuse documents that nest too deeply

Seen by callers: a worker's answer with a very deep row, or such a row in our own table, ends the process that reads it, and each process after it.

Cause: the JSON parser of the library does not recurse, but its MessagePack parser, copies, comparisons and dump() do, once a level.

The entry of a worker with deep nesting was refused or read without harm before.

All decoders of kcm-entry read through ParseJson() and ParseMessagePack() now, which refuse more than 64 levels before anything recurses. A text costs one scan for it; a row, which is read at takeovers only, one more pass of its parser.

--- a/Libraries/LibCore/json_decode.cc
+++ b/Libraries/LibCore/json_decode.cc
@@ -1,11 +1,74 @@
 #include "LibCore/json_decode.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace kcm::core {
 
 namespace {
 
+/// Reads a document without building it, and stops where it nests too deeply.
+class NestingCheck : public nlohmann::json_sax<Json> {
+ public:
+  auto null() -> bool override { return true; }
+  auto boolean(bool /*value*/) -> bool override { return true; }
+  auto number_integer(std::int64_t /*value*/) -> bool override { return true; }
+  auto number_unsigned(std::uint64_t /*value*/) -> bool override {
+    return true;
+  }
+  auto number_float(double /*value*/, const std::string& /*text*/)
+      -> bool override {
+    return true;
+  }
+  auto string(std::string& /*value*/) -> bool override { return true; }
+  auto binary(Json::binary_t& /*value*/) -> bool override { return true; }
+  auto key(std::string& /*name*/) -> bool override { return true; }
+  auto start_object(std::size_t /*members*/) -> bool override {
+    return ++depth_ <= kMaxNesting;
+  }
+  auto start_array(std::size_t /*items*/) -> bool override {
+    return ++depth_ <= kMaxNesting;
+  }
+  auto end_object() -> bool override { return EndLevel(); }
+  auto end_array() -> bool override { return EndLevel(); }
+  auto parse_error(std::size_t /*position*/,
+                   const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/)
+      -> bool override {
+    return false;
+  }
+
+ private:
+  auto EndLevel() -> bool {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+};
+
+/// @return whether a JSON text nests too deeply. Other than NestingCheck it
+///     needs no parse, which would double the cost of each text.
+auto NestsTooDeeply(std::string_view text) -> bool {
+  int depth = 0;
+  auto in_string = false;
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    const auto character = text[index];
+    if (in_string && character == '\\') {
+      ++index;
+    } else if (character == '"') {
+      in_string = !in_string;
+    } else if (!in_string && (character == '[' || character == '{')) {
+      if (++depth > kMaxNesting) {
+        return true;
+      }
+    } else if (!in_string && (character == ']' || character == '}')) {
+      --depth;
+    }
+  }
+  return false;
+}
+
 auto IsDeeperThan(const Json& document, int levels) -> bool {
   if (!document.is_structured()) {
     return false;
@@ -18,6 +81,18 @@
 
 }  // namespace
 
+auto ParseJson(std::string_view text) -> Json {
+  return NestsTooDeeply(text) ? Json(Json::value_t::discarded)
+                              : Json::parse(text, nullptr, false);
+}
+
+auto ParseMessagePack(std::string_view bytes) -> Json {
+  NestingCheck check;
+  return Json::sax_parse(bytes, &check, Json::input_format_t::msgpack)
+             ? Json::from_msgpack(bytes, true, false)
+             : Json(Json::value_t::discarded);
+}
+
 auto IsTooDeep(const Json& document) -> bool {
   return IsDeeperThan(document, kMaxNesting);
 }
--- a/Libraries/LibCore/json_decode.h
+++ b/Libraries/LibCore/json_decode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "LibCore/json.h"
 
@@ -10,6 +11,14 @@
 /// than ten; conversions of a document recurse once a level.
 inline constexpr int kMaxNesting = 64;
 
+/// Parses JSON of any origin.
+/// @return the document, or a discarded one for a malformed text or one that
+///     nests too deeply.
+[[nodiscard]] auto ParseJson(std::string_view text) -> Json;
+
+/// Parses MessagePack of any origin, with the same result.
+[[nodiscard]] auto ParseMessagePack(std::string_view bytes) -> Json;
+
 /// @return whether a document has more than kMaxNesting levels.
 [[nodiscard]] auto IsTooDeep(const Json& document) -> bool;
 
--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-#include "LibCore/json.h"
+#include "LibCore/json_decode.h"
 
 namespace kcm::dispatch {
 
@@ -22,10 +22,6 @@
   return {bytes.begin(), bytes.end()};
 }
 
-auto FromText(const std::string& text) -> Json {
-  return Json::from_msgpack(text, true, false);
-}
-
 auto JobKey(const std::string& id) -> std::string {
   return std::string(kJobPrefix) + id;
 }
@@ -113,7 +109,7 @@
 }
 
 auto JobTable::LoadJob(const StateRow& row, core::Reason& reason) -> bool {
-  const auto document = FromText(row.value);
+  const auto document = core::ParseMessagePack(row.value);
   if (!document.is_object()) {
     return Unreadable(reason, "The row of a job is not an object.");
   }
@@ -150,7 +146,7 @@
     return Unreadable(
         reason, "The key of the row does not name a task of a stored job.");
   }
-  const auto document = FromText(row.value);
+  const auto document = core::ParseMessagePack(row.value);
   try {
     task->phase = static_cast<TaskPhase>(document.at(0).get<int>());
     task->attempt = document.at(1);
--- a/Libraries/LibDispatch/lease_row.cc
+++ b/Libraries/LibDispatch/lease_row.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
-#include "LibCore/json.h"
+#include "LibCore/json_decode.h"
 
 namespace kcm::dispatch {
 
@@ -33,7 +33,7 @@
 
 auto DecodeLeaseRow(const StateRow& row, core::Reason& reason)
     -> std::optional<LeaseRow> {
-  const auto document = Json::from_msgpack(row.value, true, false);
+  const auto document = core::ParseMessagePack(row.value);
   const auto is_list =
       document.is_array() &&
       (document.size() == kNumbers || document.size() == kNumbers + 1) &&
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibCore/event.h"
+#include "LibCore/json_decode.h"
 #include "LibNet/http_status.h"
 
 namespace kcm::entry {
@@ -409,8 +410,7 @@
             result.response.status != net::kHttpOk) {
           return;
         }
-        const auto document =
-            core::Json::parse(result.response.body, nullptr, false);
+        const auto document = core::ParseJson(result.response.body);
         try {
           ApplyNewerRoutes(document.get<RouteTable>(), peer.ToString());
         } catch (const core::Json::exception& error) {
@@ -455,7 +455,7 @@
 
 auto EntryService::OnPeerJob(const net::HttpRequest& request,
                              const net::HttpReply& reply) -> void {
-  const auto asked = core::Json::parse(request.body).get<HolderRequest>();
+  const auto asked = core::ParseJson(request.body).get<HolderRequest>();
   const auto for_holder = request.header(kRelayedHeader) == "holder";
   holder_client_.SendRequest(asked, core::SuspendAwareNow() + kRelayedTimeoutMs,
                              for_holder, [reply](const HolderAnswer& answer) {
--- a/Libraries/LibEntry/holder_client.cc
+++ b/Libraries/LibEntry/holder_client.cc
@@ -1,4 +1,5 @@
 #include "LibEntry/holder_client.h"
+#include "LibCore/json_decode.h"
 #include "LibNet/http_status.h"
 
 #include <algorithm>
@@ -107,8 +108,7 @@
                answer.error = ErrorKind::kOutcomeUnknown;
                if (result.exchange == net::Exchange::kAnswered &&
                    result.response.status == net::kHttpOk) {
-                 const auto document =
-                     core::Json::parse(result.response.body, nullptr, false);
+                 const auto document = core::ParseJson(result.response.body);
                  if (document.is_object() && document.contains("phase")) {
                    answer = document.get<HolderAnswer>();
                  }
--- a/Libraries/LibEntry/peer_heartbeat.cc
+++ b/Libraries/LibEntry/peer_heartbeat.cc
@@ -1,5 +1,6 @@
 #include "LibEntry/peer_heartbeat.h"
 
+#include "LibCore/json_decode.h"
 #include "LibEntry/peer_directory.h"
 
 namespace kcm::entry {
@@ -14,7 +15,7 @@
     return fail("The heartbeat has " + std::to_string(text.size()) + " bytes.");
   }
   try {
-    auto heartbeat = core::Json::parse(text).get<PeerHeartbeat>();
+    auto heartbeat = core::ParseJson(text).get<PeerHeartbeat>();
     if (heartbeat.notes.size() > PeerDirectory::kMaxNotes) {
       heartbeat.notes.resize(PeerDirectory::kMaxNotes);
     }
--- a/Libraries/LibEntry/term_row.cc
+++ b/Libraries/LibEntry/term_row.cc
@@ -1,6 +1,6 @@
 #include "LibEntry/term_row.h"
 
-#include "LibCore/json.h"
+#include "LibCore/json_decode.h"
 
 namespace kcm::entry {
 
@@ -18,7 +18,7 @@
     if (row.key != kTermKey) {
       continue;
     }
-    const auto document = core::Json::from_msgpack(row.value, true, false);
+    const auto document = core::ParseMessagePack(row.value);
     constexpr std::size_t kMembers = 4;
     const auto is_readable =
         document.is_array() && document.size() >= kMembers &&
--- /dev/null
+++ b/Tests/LibCore/json_decode_test.cc
@@ -0,0 +1,90 @@
+#include "LibCore/json_decode.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+
+namespace kcm::core {
+namespace {
+
+struct NestingCase {
+  std::string name;
+  std::string text;
+  bool is_read = false;
+  /// MessagePack instead of JSON.
+  bool is_binary = false;
+};
+
+auto Lists(std::size_t depth, const std::string& inner = "") -> std::string {
+  return std::string(depth, '[') + inner + std::string(depth, ']');
+}
+
+auto Objects(std::size_t depth) -> std::string {
+  std::string text = "1";
+  for (std::size_t level = 0; level < depth; ++level) {
+    text.insert(0, R"({"a":)");
+    text += "}";
+  }
+  return text;
+}
+
+auto BinaryLists(std::size_t depth) -> std::string {
+  constexpr char kListOfOne = '\x91';
+  return std::string(depth, kListOfOne) + '\0';
+}
+
+auto BinaryMaps(std::size_t depth) -> std::string {
+  std::string bytes;
+  for (std::size_t level = 0; level < depth; ++level) {
+    bytes += "\x81\xa1k";
+  }
+  return bytes + '\0';
+}
+
+class NestingTest : public testing::TestWithParam<NestingCase> {};
+
+// Reading, copying and comparing a document recurse once a level: one that
+// nests without bound overflows the stack, which ends the process.
+TEST_P(NestingTest, IsReadUpToTheLimitOnly) {
+  const auto document = GetParam().is_binary ? ParseMessagePack(GetParam().text)
+                                             : ParseJson(GetParam().text);
+  EXPECT_EQ(!document.is_discarded(), GetParam().is_read);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Documents,
+    NestingTest,
+    testing::Values(
+        NestingCase{"flat", R"({"a":[1,"b"]})", true},
+        NestingCase{"at_the_limit", Lists(kMaxNesting), true},
+        NestingCase{"beyond_it", Lists(kMaxNesting + 1), false},
+        NestingCase{"very_deep", Lists(100000), false},
+        NestingCase{"very_deep_objects", Objects(10000), false},
+        NestingCase{"very_deep_and_cut", std::string(100000, '['), false},
+        NestingCase{"many_beside_each_other",
+                    "[" + Lists(1) + "," + Lists(kMaxNesting - 1) + "," +
+                        Lists(kMaxNesting - 1) + "]",
+                    true},
+        NestingCase{"brackets_in_text", "[\"" + std::string(1000, '[') + "\"]",
+                    true},
+        NestingCase{"brackets_behind_escapes",
+                    R"(["\\\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[)"
+                    R"([[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["])",
+                    true},
+        NestingCase{"deep_behind_text", R"(["\\",)" + Lists(100) + "]", false},
+        NestingCase{"binary_flat", BinaryMaps(1), true, true},
+        NestingCase{"binary_at_the_limit", BinaryLists(kMaxNesting), true,
+                    true},
+        NestingCase{"binary_beyond_it", BinaryLists(kMaxNesting + 1), false,
+                    true},
+        NestingCase{"binary_very_deep", BinaryLists(100000), false, true},
+        NestingCase{"binary_very_deep_maps", BinaryMaps(100000), false, true},
+        NestingCase{"binary_with_a_length_beyond_its_end",
+                    "\xdd\xff\xff\xff\xff\x01", false, true},
+        NestingCase{"binary_text_beyond_its_end", "\xdb\xff\xff\xff\xff\x01",
+                    false, true}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace kcm::core
