LibCore: Accept only IPv4 addresses, as a name is looked up in the event loop

Seen by callers: an entry of another writer with the address foo:80 names a worker. Each call to it looks the name up, and the process answers nobody for that time.

Cause: ParseAddress() checked the port only. The HTTP client has no resolver, so the library resolves a name with a blocking call in the event loop. Servers have always refused anything but IPv4 addresses; settings and messages hold no names.

The time of a look-up was not measured.

--- a/Libraries/LibCore/address.cc
+++ b/Libraries/LibCore/address.cc
@@ -1,6 +1,10 @@
 #include "LibCore/address.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 #include <charconv>
+#include <utility>
 
 namespace kcm::core {
 
@@ -8,10 +12,11 @@
     -> std::optional<Address> {
   const auto colon = text.rfind(':');
   const auto fail = [&] {
-    return reason.Fail(ErrorKind::kBadInput, std::string(field),
-                       "\"" + std::string(text) +
-                           "\" is not an address; allowed is IP:PORT with a "
-                           "port from 1 to 65535.");
+    return reason.Fail(
+        ErrorKind::kBadInput, std::string(field),
+        "\"" + std::string(text) +
+            "\" is not an address; allowed is IP:PORT with an IPv4 address "
+            "and a port from 1 to 65535.");
   };
   if (colon == std::string_view::npos || colon == 0) {
     return fail();
@@ -24,7 +29,13 @@
       port == 0) {
     return fail();
   }
-  return Address{std::string(text.substr(0, colon)), port};
+  std::string host(text.substr(0, colon));
+  in_addr unused{};
+  if (host.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, host.c_str(), &unused) != 1) {
+    return fail();
+  }
+  return Address{std::move(host), port};
 }
 
 }  // namespace kcm::core
--- a/Libraries/LibCore/address.h
+++ b/Libraries/LibCore/address.h
@@ -9,7 +9,7 @@
 
 namespace kcm::core {
 
-/// An IP address and port.
+/// An IPv4 address and port.
 struct Address {
   std::string host;
   std::uint16_t port = 0;
@@ -23,7 +23,8 @@
   }
 };
 
-/// Parses "host:port".
+/// Parses "host:port". The host is an IPv4 address: a name would be looked up
+/// when a connection is opened, which blocks the process.
 /// @param text for example "127.0.0.1:8001".
 /// @param field the setting named in the reason on failure.
 /// @return the address, or nothing with `reason` of kind kBadInput.
