platform: Refuse submissions with numbers that overflow in sums

Seen by callers: a job whose cpu, estimate, start or period is near 2^63 was accepted; products with the number of tasks and sums of times then overflow in each holder of the term, as the job is stored.

Cause: the numbers of a submission had no upper bound. The reader of members moves to LibCore, for the other decoders, and gives each kind of number one. A whole number written as 8.0 is taken as 8 now: JSON has one kind of number.

Evidence: HugeCpu, HugeEstimate, HugePeriod, HugeStart and WholeNumberAsFloat of JobRequest fail on the unfixed code; the other new cases passed before.

--- a/Libraries/LibCore/json_decode.cc
+++ b/Libraries/LibCore/json_decode.cc
@@ -1,7 +1,7 @@
 #include "LibCore/json_decode.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <cmath>
 
 namespace kcm::core {
 
@@ -101,4 +101,32 @@
   return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+auto ToWholeNumber(const Json& value, std::int64_t maximum)
+    -> std::optional<std::int64_t> {
+  const auto number = ToNumber(value, static_cast<double>(maximum));
+  if (!number || std::trunc(*number) != *number) {
+    return std::nullopt;
+  }
+  // Up to kMaxNumber a double holds each whole number.
+  return static_cast<std::int64_t>(*number);
+}
+
+auto ToNumber(const Json& value, double maximum) -> std::optional<double> {
+  if (!value.is_number()) {
+    return std::nullopt;
+  }
+  const auto number = value.get<double>();
+  // Also false for what is no number.
+  return number >= 0 && number <= maximum ? std::optional(number)
+                                          : std::nullopt;
+}
+
+auto HasOnlyNumbersInRange(const Json& document) -> bool {
+  if (document.is_structured()) {
+    return std::all_of(document.begin(), document.end(), HasOnlyNumbersInRange);
+  }
+  return !document.is_number() ||
+         ToNumber(document, static_cast<double>(kMaxNumber)).has_value();
+}
+
 }  // namespace kcm::core
--- a/Libraries/LibCore/json_decode.h
+++ b/Libraries/LibCore/json_decode.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +13,10 @@
 /// than ten; conversions of a document recurse once a level.
 inline constexpr int kMaxNesting = 64;
 
+/// Largest number that is accepted from outside the process: beyond any time in
+/// milliseconds or count, and small enough for sums of some thousands.
+inline constexpr std::int64_t kMaxNumber = 1'000'000'000'000'000;
+
 /// Parses JSON of any origin.
 /// @return the document, or a discarded one for a malformed text or one that
 ///     nests too deeply.
@@ -26,4 +32,18 @@
 /// bytes that are not UTF-8 are replaced.
 [[nodiscard]] auto ToJsonText(const Json& document) -> std::string;
 
+/// @return a whole number from 0 to `maximum`, also if it is written with a
+///     fraction of zero, or nothing.
+[[nodiscard]] auto ToWholeNumber(const Json& value,
+                                 std::int64_t maximum = kMaxNumber)
+    -> std::optional<std::int64_t>;
+
+/// @return a number from 0 to `maximum`, or nothing.
+[[nodiscard]] auto ToNumber(const Json& value, double maximum)
+    -> std::optional<double>;
+
+/// @return whether all numbers in a document are from 0 to kMaxNumber. All
+///     numbers in the messages between our processes and in our rows are.
+[[nodiscard]] auto HasOnlyNumbersInRange(const Json& document) -> bool;
+
 }  // namespace kcm::core
