--- /dev/null
+++ b/Tests/Platform/odd_answer_test.cc
@@ -0,0 +1,195 @@
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+
+#include "LibNet/http_client.h"
+#include "LibNet/http_server.h"
+#include "platform/worker_client.h"
+
+namespace kcm::adapter {
+namespace {
+
+auto DeeplyNested() -> std::string {
+  constexpr std::size_t kDepth = 100000;
+  return std::string(kDepth, '[') + std::string(kDepth, ']');
+}
+
+/// A worker that answers each call with a given status and body.
+class WorkerAnswerTest : public testing::Test {
+ protected:
+  auto SendPoll(int status, const std::string& body) -> dispatch::CallResult {
+    const auto process = static_cast<int>(getpid());
+    const core::Address address{
+        "127." + std::to_string(1 + process / 250 % 250) + "." +
+            std::to_string(1 + process % 250) + ".9",
+        7000};
+    net::EventLoop loop;
+    core::Reason reason;
+    const auto server = net::HttpServer::create(
+        loop, address,
+        [&](const net::HttpRequest&, const net::HttpReply& reply) {
+          reply.Send({status, {}, body});
+        },
+        reason);
+    EXPECT_NE(server, nullptr) << reason.message;
+    net::HttpClient http(loop);
+    WorkerClient client(http);
+    dispatch::WorkerCall call;
+    call.worker = "w";
+    call.address = address;
+    call.command = dispatch::PollCall{};
+    std::optional<dispatch::CallResult> result;
+    client.Send(call, 1, 2000, [&](dispatch::CallResult given) {
+      result = std::move(given);
+      loop.Stop();
+    });
+    loop.Run();
+    return result.value_or(dispatch::CallResult{});
+  }
+};
+
+struct AnswerCase {
+  std::string name;
+  int status;
+  std::string body;
+  dispatch::CallEnd end;
+  bool has_report = false;
+  bool has_clock = false;
+};
+
+class OddWorkerAnswerTest : public WorkerAnswerTest,
+                            public testing::WithParamInterface<AnswerCase> {};
+
+// One worker with an odd answer must not end the process that calls it, nor
+// every later one.
+TEST_P(OddWorkerAnswerTest, IsNoProofOfAnything) {
+  const auto result = SendPoll(GetParam().status, GetParam().body);
+  EXPECT_EQ(result.end, GetParam().end);
+  EXPECT_EQ(result.report.has_value(), GetParam().has_report);
+  EXPECT_EQ(result.clock_ms.has_value(), GetParam().has_clock);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    OddWorkerAnswerTest,
+    testing::Values(
+        AnswerCase{"good", 200, R"({"clock_ms":5})", dispatch::CallEnd::kDone,
+                   true, true},
+        AnswerCase{"reason_number", 409, R"({"clock_ms":5,"reason":7})",
+                   dispatch::CallEnd::kUnknown, false, true},
+        AnswerCase{"reason_unknown", 409, R"({"clock_ms":5,"reason":"odd"})",
+                   dispatch::CallEnd::kUnknown, false, true},
+        AnswerCase{"reason_deep", 409, "{\"reason\":" + DeeplyNested() + "}",
+                   dispatch::CallEnd::kUnknown},
+        AnswerCase{"empty", 200, "", dispatch::CallEnd::kDone},
+        AnswerCase{"not_utf8", 200, "{\"clock_ms\":5,\"a\":\"\xff\"}",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"clock_text", 200, R"({"clock_ms":"5"})",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"clock_negative", 200, R"({"clock_ms":-1})",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"clock_1e300", 200, R"({"clock_ms":1e300})",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"clock_2_63_less_1", 200,
+                   R"({"clock_ms":9223372036854775807})",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"clock_2_63", 200, R"({"clock_ms":9223372036854775808})",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"born_2_63", 200,
+                   R"({"clock_ms":5,"born":9223372036854775808})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"born_negative", 200, R"({"clock_ms":5,"born":-1})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"row_deep", 200,
+                   R"({"clock_ms":5,"running":[)" + DeeplyNested() + "]}",
+                   dispatch::CallEnd::kDone},
+        AnswerCase{"rows_deep", 200,
+                   R"({"clock_ms":5,"ended_runs":)" + DeeplyNested() + "}",
+                   dispatch::CallEnd::kDone}),
+    [](const auto& info) { return info.param.name; });
+
+struct RowCase {
+  std::string name;
+  std::string list;
+  std::string row;
+};
+
+class OddWorkerRowTest : public testing::TestWithParam<RowCase> {};
+
+// A row with a number that no run can have is skipped; those beside it hold.
+TEST_P(OddWorkerRowTest, IsSkippedAndTheOthersHold) {
+  const auto report = DecodePollReport(core::Json::parse(
+      R"({"clock_ms":5,"running":[["a.0.0.1",1,"",10])" +
+      (GetParam().list == "running" ? "," + GetParam().row : "") +
+      R"(],"ended_runs":[[1,"a.0.0.2",1,"done",""])" +
+      (GetParam().list == "ended_runs" ? "," + GetParam().row : "") + "]}"));
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->running.size(), 1U);
+  EXPECT_EQ(report->ended.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows,
+    OddWorkerRowTest,
+    testing::Values(
+        RowCase{"number", "running", "7"},
+        RowCase{"short", "running", R"(["a.0.0.3",1])"},
+        RowCase{"long_text", "running",
+                "[\"" + std::string(1000000, 'x') + "\"]"},
+        RowCase{"task_negative", "running", R"(["a.0.0.-1",1,"",0])"},
+        RowCase{"task_step_2_63_less_1", "running",
+                R"(["a.0.9223372036854775807.0",1,"",0])"},
+        RowCase{"task_occurrence_2_62", "running",
+                R"(["a.4611686018427387904.0.0",1,"",0])"},
+        RowCase{"attempt_negative", "running", R"(["a.0.0.3",-1,"",0])"},
+        RowCase{"attempt_2_63", "running",
+                R"(["a.0.0.3",9223372036854775808,"",0])"},
+        RowCase{"attempt_2_63_less_1", "running",
+                R"(["a.0.0.3",9223372036854775807,"",0])"},
+        RowCase{"attempt_text", "running", R"(["a.0.0.3","1","",0])"},
+        RowCase{"number_negative", "ended_runs",
+                R"([-1,"a.0.0.3",1,"done",""])"},
+        RowCase{"number_2_63", "ended_runs",
+                R"([9223372036854775808,"a.0.0.3",1,"done",""])"},
+        RowCase{"number_2_63_less_1", "ended_runs",
+                R"([9223372036854775807,"a.0.0.3",1,"done",""])"},
+        RowCase{"how_unknown", "ended_runs", R"([2,"a.0.0.3",1,"odd",""])"},
+        RowCase{"end_attempt_2_63", "ended_runs",
+                R"([2,"a.0.0.3",9223372036854775808,"done",""])"}),
+    [](const auto& info) { return info.param.name; });
+
+struct ProgressCase {
+  std::string name;
+  std::string percent;
+  double read;
+};
+
+class WorkerProgressTest : public testing::TestWithParam<ProgressCase> {};
+
+// Progress only estimates what is left of a run, so an odd one is limited: a
+// run that is not listed counts as gone and would be started a second time.
+TEST_P(WorkerProgressTest, IsLimitedAndItsRunStaysListed) {
+  const auto report = DecodePollReport(
+      core::Json::parse(R"({"clock_ms":5,"running":[["a.0.0.1",1,"",)" +
+                        GetParam().percent + "]]}"));
+  ASSERT_TRUE(report);
+  ASSERT_EQ(report->running.size(), 1U);
+  EXPECT_EQ(report->running[0].percent, GetParam().read);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Percentages,
+    WorkerProgressTest,
+    testing::Values(ProgressCase{"usual", "41", 41},
+                    ProgressCase{"fraction", "41.5", 41.5},
+                    ProgressCase{"all", "100", 100},
+                    ProgressCase{"negative", "-1", 0},
+                    ProgressCase{"too_large", "101", 100},
+                    ProgressCase{"1e300", "1e300", 100},
+                    ProgressCase{"2_63", "9223372036854775808", 100}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace kcm::adapter
