--- a/Libraries/LibCore/json_decode.cc
+++ b/Libraries/LibCore/json_decode.cc
@@ -101,6 +101,10 @@
   return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+auto ReplaceInvalidUtf8(const std::string& text) -> std::string {
+  return Json::parse(ToJsonText(text)).get<std::string>();
+}
+
 auto ToWholeNumber(const Json& value, std::int64_t maximum)
     -> std::optional<std::int64_t> {
   const auto number = ToNumber(value, static_cast<double>(maximum));
--- a/Libraries/LibCore/json_decode.h
+++ b/Libraries/LibCore/json_decode.h
@@ -32,6 +32,9 @@
 /// bytes that are not UTF-8 are replaced.
 [[nodiscard]] auto ToJsonText(const Json& document) -> std::string;
 
+/// @return the text with each byte replaced that is not a part of UTF-8.
+[[nodiscard]] auto ReplaceInvalidUtf8(const std::string& text) -> std::string;
+
 /// @return a whole number from 0 to `maximum`, also if it is written with a
 ///     fraction of zero, or nothing.
 [[nodiscard]] auto ToWholeNumber(const Json& value,
