LibDispatch: Reject stored rows with numbers or phases out of range

Seen by callers: none yet; only the holder writes these rows. One with 10^18 tasks, or steps that depend on a later one, ends each process that takes the term over; one with 2^63 - 1 occurrences keeps it busy without end.

Cause: rows were converted without checks, and allocation errors are no errors of the JSON library, which alone are caught. A row of a task that was malformed at its end had changed the task already, and any number became a phase.

CheckJobSpec() states what a holder can handle; a task's row is read completely before the task changes.

--- a/Libraries/LibDispatch/clock_witness.cc
+++ b/Libraries/LibDispatch/clock_witness.cc
@@ -1,5 +1,7 @@
 #include "LibDispatch/clock_witness.h"
 
+#include "LibCore/json_decode.h"
+
 namespace kcm::dispatch {
 
 using core::Json;
@@ -21,9 +23,9 @@
   }
   ClockWitnesses witnesses;
   for (const auto& row : document) {
-    const auto is_readable = row.is_array() && row.size() == kMembers &&
-                             row[0].is_string() && row[1].is_number_integer() &&
-                             row[2].is_number_integer();
+    const auto is_readable =
+        row.is_array() && row.size() == kMembers && row[0].is_string() &&
+        core::ToWholeNumber(row[1]) && core::ToWholeNumber(row[2]);
     if (!is_readable) {
       return std::nullopt;
     }
--- a/Libraries/LibDispatch/job.cc
+++ b/Libraries/LibDispatch/job.cc
@@ -26,7 +26,9 @@
 
 auto Job::FindStep(const TaskId& id) -> Step* {
   const auto count = static_cast<std::int64_t>(spec.steps.size());
-  if (id.step < 0 || id.step >= count || id.occurrence < 0) {
+  const auto occurrences = std::max<std::int64_t>(spec.repeats, 1);
+  if (id.step < 0 || id.step >= count || id.occurrence < 0 ||
+      id.occurrence >= occurrences) {
     return nullptr;
   }
   const auto position =
--- a/Libraries/LibDispatch/job_spec.h
+++ b/Libraries/LibDispatch/job_spec.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "LibCore/clock.h"
+#include "LibCore/reason.h"
 #include "LibDispatch/queue_policy.h"
 #include "LibDispatch/resources.h"
 
@@ -80,4 +81,14 @@
          accepted_at,
          policy)
 
+/// Most tasks of a job in all its occurrences; bounds the cost of one
+/// submission: 100 times the largest known job.
+inline constexpr std::int64_t kMaxTasksPerJob = 10000;
+
+/// @return whether a job can be handled: it has tasks, at most
+///     kMaxTasksPerJob, each step depends on earlier ones only, and no product
+///     or sum of its numbers overflows. If not, `reason` names the member.
+[[nodiscard]] auto CheckJobSpec(const JobSpec& spec, core::Reason& reason)
+    -> bool;
+
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -78,6 +78,34 @@
                               task.incarnation, task.checkpoint}))};
 }
 
+/// Reads the members that RowOfTask() writes.
+/// @return whether all are valid; if not, the task is unchanged.
+auto DecodeTask(const Json& row, Task& task) -> bool {
+  constexpr std::size_t kMembers = 7;
+  constexpr auto kLastPhase = static_cast<std::int64_t>(TaskPhase::kDone);
+  if (!row.is_array() || row.size() < kMembers || !row[4].is_string() ||
+      !row[6].is_string()) {
+    return false;
+  }
+  const auto phase = core::ToWholeNumber(row[0], kLastPhase);
+  const auto attempt = core::ToWholeNumber(row[1]);
+  const auto failures = core::ToWholeNumber(row[2]);
+  const auto failed_attempt = core::ToWholeNumber(row[3]);
+  const auto incarnation = core::ToWholeNumber(row[5]);
+  if (!phase || !attempt || !failures || !failed_attempt || !incarnation) {
+    return false;
+  }
+  task.phase = static_cast<TaskPhase>(*phase);
+  task.attempt = *attempt;
+  task.failures = *failures;
+  task.failed_attempt = *failed_attempt;
+  task.worker = row[4];
+  task.incarnation = *incarnation;
+  task.checkpoint = row[6];
+  task.stored = true;
+  return true;
+}
+
 auto Unreadable(core::Reason& reason, const std::string& why) -> bool {
   reason = {core::ErrorKind::kBadInput, "", why};
   return false;
@@ -113,11 +141,17 @@
   if (!document.is_object()) {
     return Unreadable(reason, "The row of a job is not an object.");
   }
+  if (!core::HasOnlyNumbersInRange(document)) {
+    return Unreadable(reason, "A number in the row of a job is out of range.");
+  }
   const auto id = row.key.substr(kJobPrefix.size());
   try {
     JobSpec spec;
     if (document.contains("spec")) {
       spec = document.at("spec").get<JobSpec>();
+      if (!CheckJobSpec(spec, reason)) {
+        return false;
+      }
     } else {
       spec.queue = document.value("queue", "");
       spec.account = document.value("account", "");
@@ -146,18 +180,8 @@
     return Unreadable(
         reason, "The key of the row does not name a task of a stored job.");
   }
-  const auto document = core::ParseMessagePack(row.value);
-  try {
-    task->phase = static_cast<TaskPhase>(document.at(0).get<int>());
-    task->attempt = document.at(1);
-    task->failures = document.at(2);
-    task->failed_attempt = document.at(3);
-    task->worker = document.at(4);
-    task->incarnation = document.at(5);
-    task->checkpoint = document.at(6);
-    task->stored = true;
-  } catch (const Json::exception& error) {
-    return Unreadable(reason, error.what());
+  if (!DecodeTask(core::ParseMessagePack(row.value), *task)) {
+    return Unreadable(reason, "The row of a task has no valid members.");
   }
   auto* step = job->FindStep(*id);
   step->done += task->phase == TaskPhase::kDone ? 1 : 0;
--- a/Libraries/LibDispatch/lease_row.cc
+++ b/Libraries/LibDispatch/lease_row.cc
@@ -39,20 +39,20 @@
       (document.size() == kNumbers || document.size() == kNumbers + 1) &&
       std::all_of(
           document.begin(), document.begin() + kNumbers,
-          [](const Json& member) { return member.is_number_integer(); });
+          [](const Json& member) { return core::ToWholeNumber(member); });
   const auto witnesses = is_list && document.size() > kNumbers
                              ? ClockWitnessesFromJson(document[kNumbers])
                              : ClockWitnesses{};
   if (!is_list || !witnesses) {
     reason = {core::ErrorKind::kBadInput, "",
-              "The lease row is not three integers and a list of witnesses."};
+              "The lease row is not three whole numbers in range and a list of "
+              "witnesses."};
     return std::nullopt;
   }
   LeaseRow lease{row.key.substr(kLeasePrefix.size()), document[0], document[1],
                  document[2], *witnesses};
-  if (lease.worker.empty() || lease.remaining_ms < 0) {
-    reason = {core::ErrorKind::kBadInput, "",
-              "The lease row names no worker or ends in the past."};
+  if (lease.worker.empty()) {
+    reason = {core::ErrorKind::kBadInput, "", "The lease row names no worker."};
     return std::nullopt;
   }
   return lease;
