LibEntry: Refuse odd messages of other entry processes

Seen by callers: a relayed submission with 10^18 tasks, or an answer of the holder whose phase or error is no string, ends the process that reads it. Heartbeats and rows of the term were taken over with numbers that wrap: port 99999 as 34463, a time of 1e300, an epoch of 2^63 - 1, after which the next claim overflows.

Cause: members were converted without a check of range, allocation errors are no JSON errors, and answers were decoded outside any try block. An unknown verb was read as a submission, an unknown phase as queued.

DecodeHolderRequest() and DecodeHolderAnswer() check all members; no number in our messages is negative or above 10^15, which one check states for all of them. The routes of a peer pass it too; that has no test of its own.

--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -411,11 +411,18 @@
           return;
         }
         const auto document = core::ParseJson(result.response.body);
+        const auto reject = [&](const std::string& error) {
+          core::LogEvent(core::Event::kBadMessage,
+                         {{"from", peer.ToString()}, {"error", error}});
+        };
+        if (!core::HasOnlyNumbersInRange(document)) {
+          reject("A number in the routes is out of range.");
+          return;
+        }
         try {
           ApplyNewerRoutes(document.get<RouteTable>(), peer.ToString());
         } catch (const core::Json::exception& error) {
-          core::LogEvent(core::Event::kBadMessage,
-                         {{"from", peer.ToString()}, {"error", error.what()}});
+          reject(error.what());
         }
       });
 }
@@ -455,9 +462,17 @@
 
 auto EntryService::OnPeerJob(const net::HttpRequest& request,
                              const net::HttpReply& reply) -> void {
-  const auto asked = core::ParseJson(request.body).get<HolderRequest>();
+  core::Reason reason;
+  const auto asked = DecodeHolderRequest(request.body, reason);
+  if (!asked) {
+    core::LogEvent(core::Event::kBadMessage,
+                   {{"path", request.path}, {"error", reason.message}});
+    reply.SendError(reason);
+    return;
+  }
   const auto for_holder = request.header(kRelayedHeader) == "holder";
-  holder_client_.SendRequest(asked, core::SuspendAwareNow() + kRelayedTimeoutMs,
+  holder_client_.SendRequest(*asked,
+                             core::SuspendAwareNow() + kRelayedTimeoutMs,
                              for_holder, [reply](const HolderAnswer& answer) {
                                reply.SendJson(net::kHttpOk, core::Json(answer));
                              });
--- a/Libraries/LibEntry/holder_client.cc
+++ b/Libraries/LibEntry/holder_client.cc
@@ -1,5 +1,5 @@
 #include "LibEntry/holder_client.h"
-#include "LibCore/json_decode.h"
+#include "LibCore/event.h"
 #include "LibNet/http_status.h"
 
 #include <algorithm>
@@ -96,31 +96,35 @@
         address == peers_.holder_view().address ? "holder" : "relay"}},
       core::Json(pending->request).dump(),
       "relay"};
-  http_.Send(address, request, std::clamp<Millis>(left, 1, kAttemptTimeoutMs),
-             [this, pending, was_unknown](const net::HttpResult& result) {
-               if (result.exchange == net::Exchange::kNeverSent) {
-                 pending->outcome_unknown = was_unknown;
-                 ScheduleRetry(pending);
-                 return;
-               }
-               HolderAnswer answer;
-               answer.not_holder = true;
-               answer.error = ErrorKind::kOutcomeUnknown;
-               if (result.exchange == net::Exchange::kAnswered &&
-                   result.response.status == net::kHttpOk) {
-                 const auto document = core::ParseJson(result.response.body);
-                 if (document.is_object() && document.contains("phase")) {
-                   answer = document.get<HolderAnswer>();
-                 }
-               }
-               if (!answer.not_holder) {
-                 Finish(*pending, answer);
-                 return;
-               }
-               pending->outcome_unknown =
-                   was_unknown || answer.error == ErrorKind::kOutcomeUnknown;
-               AwaitHolder(pending);
-             });
+  http_.Send(
+      address, request, std::clamp<Millis>(left, 1, kAttemptTimeoutMs),
+      [this, pending, was_unknown](const net::HttpResult& result) {
+        if (result.exchange == net::Exchange::kNeverSent) {
+          pending->outcome_unknown = was_unknown;
+          ScheduleRetry(pending);
+          return;
+        }
+        HolderAnswer answer;
+        answer.not_holder = true;
+        answer.error = ErrorKind::kOutcomeUnknown;
+        if (result.exchange == net::Exchange::kAnswered &&
+            result.response.status == net::kHttpOk) {
+          core::Reason reason;
+          if (auto decoded = DecodeHolderAnswer(result.response.body, reason)) {
+            answer = *decoded;
+          } else {
+            core::LogEvent(core::Event::kBadMessage,
+                           {{"path", kJobPath}, {"error", reason.message}});
+          }
+        }
+        if (!answer.not_holder) {
+          Finish(*pending, answer);
+          return;
+        }
+        pending->outcome_unknown =
+            was_unknown || answer.error == ErrorKind::kOutcomeUnknown;
+        AwaitHolder(pending);
+      });
 }
 
 auto HolderClient::AwaitHolder(const std::shared_ptr<PendingRequest>& pending)
--- a/Libraries/LibEntry/holder_request.h
+++ b/Libraries/LibEntry/holder_request.h
@@ -2,11 +2,13 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "LibCore/enum_names.h"
 #include "LibCore/error_kind.h"
 #include "LibCore/json.h"
+#include "LibCore/reason.h"
 #include "LibDispatch/job_phase.h"
 #include "LibDispatch/job_spec.h"
 
@@ -81,4 +83,17 @@
   answer.not_holder = document.value("not_holder", false);
 }
 
+/// Decodes a request that another process relays.
+/// @return the request, or nothing with `reason` of kind kBadInput if it is
+///     malformed or its job cannot be handled; see dispatch::CheckJobSpec().
+[[nodiscard]] auto DecodeHolderRequest(const std::string& text,
+                                       core::Reason& reason)
+    -> std::optional<HolderRequest>;
+
+/// Decodes the answer to a relayed request.
+/// @return the answer, or nothing with `reason` of kind kBadInput.
+[[nodiscard]] auto DecodeHolderAnswer(const std::string& text,
+                                      core::Reason& reason)
+    -> std::optional<HolderAnswer>;
+
 }  // namespace kcm::entry
--- a/Libraries/LibEntry/peer_heartbeat.cc
+++ b/Libraries/LibEntry/peer_heartbeat.cc
@@ -15,7 +15,14 @@
     return fail("The heartbeat has " + std::to_string(text.size()) + " bytes.");
   }
   try {
-    auto heartbeat = core::ParseJson(text).get<PeerHeartbeat>();
+    const auto document = core::ParseJson(text);
+    if (!document.is_object()) {
+      return fail("The heartbeat is no JSON object, or nests too deeply.");
+    }
+    if (!core::HasOnlyNumbersInRange(document)) {
+      return fail("A number in the heartbeat is out of range.");
+    }
+    auto heartbeat = document.get<PeerHeartbeat>();
     if (heartbeat.notes.size() > PeerDirectory::kMaxNotes) {
       heartbeat.notes.resize(PeerDirectory::kMaxNotes);
     }
--- a/Libraries/LibEntry/term_row.cc
+++ b/Libraries/LibEntry/term_row.cc
@@ -22,12 +22,21 @@
     constexpr std::size_t kMembers = 4;
     const auto is_readable =
         document.is_array() && document.size() >= kMembers &&
+        core::HasOnlyNumbersInRange(document) &&
         document[0].is_number_integer() && document[1].is_string() &&
-        document[2].is_string() && document[3].is_number_unsigned();
+        document[2].is_string() && document[3].is_number_integer();
     if (!is_readable) {
       continue;
     }
-    newest = TermRow{document[0], document[1], {document[2], document[3]}};
+    core::Reason unused;
+    const auto address =
+        core::ParseAddress(document[2].get<std::string>() + ":" +
+                               std::to_string(document[3].get<std::int64_t>()),
+                           "address", unused);
+    if (!address) {
+      continue;
+    }
+    newest = TermRow{document[0], document[1], *address};
     if (document.size() > kMembers && document[kMembers].is_number_integer()) {
       newest->lease_rows_since = document[kMembers];
     }
