platform: Refuse a configuration with numbers out of range

Seen by callers: an operator's priority of -1, a latency near 2^63 or attempts beyond 64 bits came into force in all processes with whatever they convert to.

Cause: numbers were converted without a check of range or kind.

A fraction of target_latency_ms is still rounded down, and a list of keys may still be null.

Decoders.DoNotCrashOnDamagedDocuments reads valid documents of each kind with one damaged place.

--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -4,6 +4,7 @@
 
 #include <fstream>
 
+#include "LibCore/json_decode.h"
 #include "platform/client_http.h"
 #include "platform/configuration.h"
 #include "platform/job_request.h"
@@ -185,6 +186,65 @@
   EXPECT_FALSE(DecodeConfiguration(R"({"version":7})", reason));
 }
 
+struct ConfigurationCase {
+  const char* name;
+  /// Members of a route, and members of the configuration.
+  const char* route;
+  const char* more;
+  bool is_read = false;
+};
+
+class Configurations : public testing::TestWithParam<ConfigurationCase> {};
+
+// A configuration with a number out of range would be in force in all processes
+// with whatever the number wraps to.
+TEST_P(Configurations, AreReadOrRefusedWithAReason) {
+  core::Reason reason;
+  const auto table = DecodeConfiguration(
+      std::string(R"({"version":7,"routes":[{"name":"q","host":"h",)") +
+          R"("path_prefix":"/p/","service":"s")" + GetParam().route + "}]" +
+          GetParam().more + "}",
+      reason);
+  EXPECT_EQ(table.has_value(), GetParam().is_read) << reason.message;
+  EXPECT_EQ(reason.message.empty(), GetParam().is_read);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts,
+    Configurations,
+    testing::Values(
+        ConfigurationCase{"Plain", "", "", true},
+        ConfigurationCase{"Numbers",
+                          R"(,"priority":2,"max_attempts":4,"slack_factor":3,)"
+                          R"("target_latency_ms":1200.5)",
+                          R"(,"limits":{"max_body_bytes":1000})", true},
+        ConfigurationCase{"NoKeys", "",
+                          R"(,"tenants":[{"name":"t","api_keys":null}])", true},
+        ConfigurationCase{"PriorityNegative", R"(,"priority":-1)", ""},
+        ConfigurationCase{"Priority1e300", R"(,"priority":1e300)", ""},
+        ConfigurationCase{"AttemptsBeyond64Bits",
+                          R"(,"max_attempts":18446744073709551616)", ""},
+        ConfigurationCase{"AttemptsFraction", R"(,"max_attempts":1.5)", ""},
+        ConfigurationCase{"SlackNegative", R"(,"slack_factor":-1)", ""},
+        ConfigurationCase{"Slack1e300", R"(,"slack_factor":1e300)", ""},
+        ConfigurationCase{"LatencyHuge",
+                          R"(,"target_latency_ms":9223372036854775807)", ""},
+        ConfigurationCase{"ServiceNumber", R"(,"service":7)", ""},
+        ConfigurationCase{"VersionUnsigned", "",
+                          R"(,"version":9223372036854775808)"},
+        ConfigurationCase{
+            "GuaranteeNegative", "",
+            R"(,"tenants":[{"name":"t","guaranteed":{"gpu":-1}}])"},
+        ConfigurationCase{"GuaranteeList", "",
+                          R"(,"tenants":[{"name":"t","guaranteed":[8]}])"},
+        ConfigurationCase{"TenantWithoutName", "", R"(,"tenants":[{}])"},
+        ConfigurationCase{"KeyNumber", "",
+                          R"(,"tenants":[{"name":"t","api_keys":[7]}])"},
+        ConfigurationCase{"BodyBytesNegative", "",
+                          R"(,"limits":{"max_body_bytes":-1})"},
+        ConfigurationCase{"LimitsNumber", "", R"(,"limits":7)"}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(Records, AreDecodedAsEncoded) {
   const std::vector<dispatch::StateRow> rows = {{"a", "1"}, {"b", ""}};
   const std::string offsets("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x07", 16);
@@ -320,6 +380,32 @@
   }
 }
 
+// A document with one damaged place must not crash the decoders: most damaged
+// places leave it readable, unlike arbitrary bytes.
+RC_GTEST_PROP(Decoders, DoNotCrashOnDamagedDocuments, ()) {
+  const auto text = *rc::gen::elementOf(std::vector<std::string>{
+      R"({"task_spec":"t","repeats":2,"start_at_ms":5,"period_ms":7,"phases":[{"count":2,"cpu":500,"after":[],"gang":true}]})",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2,"gpu":3},"labels":["a","r1"],"born":5,"remaining_ms":7})",
+      R"({"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/p/","service":"s","priority":1}],"tenants":[{"name":"t","api_keys":["k"],"guaranteed":{"gpu":72}}],"limits":{"max_body_bytes":5}})",
+      R"({"items":[{"key":"a","value":"MQ==","offset":1}],"truncated":false,"end_offset":2})",
+      R"({"clock_ms":5,"born":3,"running":[["a.0.1.2",1,"c",41]],"ended_runs":[[1,"a.0.1.3",1,"done",""]]})"});
+  const auto piece = *rc::gen::oneOf(
+      rc::gen::elementOf(std::vector<std::string>{
+          "", "-1", "1e300", "0.5", "9223372036854775808", "null", "[]", "{}",
+          "\"\xff\"", "18446744073709551616", "true", "[[[[", "\\u0000"}),
+      rc::gen::arbitrary<std::string>());
+  const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto size = *rc::gen::inRange<std::size_t>(0, 6);
+  auto damaged = text;
+  damaged.replace(at, size, piece);
+  core::Reason reason;
+  std::ignore = DecodeJobRequest(damaged, reason);
+  std::ignore = DecodeWorkerListing("w", damaged, reason);
+  std::ignore = DecodeConfiguration(damaged, reason);
+  std::ignore = DecodeNewest(damaged);
+  std::ignore = DecodePollReport(core::ParseJson(damaged));
+}
+
 // Arbitrary bytes from outside must not crash the decoders.
 RC_GTEST_PROP(Decoders,
               DoNotCrashOnArbitraryBytes,
