--- a/Tests/Platform/odd_entry_test.cc
+++ b/Tests/Platform/odd_entry_test.cc
@@ -24,7 +24,10 @@
 auto ToObject(const Members& members) -> std::string {
   std::string text;
   for (const auto& [name, value] : members) {
-    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    text += text.empty() ? "{\"" : ",\"";
+    text += name;
+    text += "\":";
+    text += value;
   }
   return text + "}";
 }
@@ -58,7 +61,7 @@
  protected:
   FleetListTest() : decoders_(MakeDecoders()), fleet_(decoders_) {}
 
-  auto Listed() const -> std::vector<std::string> {
+  [[nodiscard]] auto Listed() const -> std::vector<std::string> {
     std::vector<std::string> ids;
     for (const auto& worker : fleet_.Workers()) {
       ids.push_back(worker.id);
