--- /dev/null
+++ b/Libraries/LibCore/json_decode.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibCore/json.h"
+
+namespace kcm::core {
+
+/// Most levels of nesting in a document. Ours and the platform's have fewer
+/// than ten; conversions of a document recurse once a level.
+inline constexpr int kMaxNesting = 64;
+
+/// Largest number that is accepted from outside the process: beyond any time in
+/// milliseconds or count, and small enough for sums of some thousands.
+inline constexpr std::int64_t kMaxNumber = 1'000'000'000'000'000;
+
+/// Parses JSON of any origin.
+/// @return the document, or a discarded one for a malformed text or one that
+///     nests too deeply.
+[[nodiscard]] auto ParseJson(std::string_view text) -> Json;
+
+/// Parses MessagePack of any origin, with the same result.
+[[nodiscard]] auto ParseMessagePack(std::string_view bytes) -> Json;
+
+/// @return whether a document has more than kMaxNesting levels.
+[[nodiscard]] auto IsTooDeep(const Json& document) -> bool;
+
+/// Encodes a document with at most kMaxNesting levels as JSON. Never throws:
+/// bytes that are not UTF-8 are replaced.
+[[nodiscard]] auto ToJsonText(const Json& document) -> std::string;
+
+/// @return the text with each byte replaced that is not a part of UTF-8.
+[[nodiscard]] auto ReplaceInvalidUtf8(const std::string& text) -> std::string;
+
+/// @return a whole number from 0 to `maximum`, also if it is written with a
+///     fraction of zero, or nothing.
+[[nodiscard]] auto ToWholeNumber(const Json& value,
+                                 std::int64_t maximum = kMaxNumber)
+    -> std::optional<std::int64_t>;
+
+/// @return a number from 0 to `maximum`, or nothing.
+[[nodiscard]] auto ToNumber(const Json& value, double maximum)
+    -> std::optional<double>;
+
+/// @return whether all numbers in a document are from 0 to kMaxNumber. All
+///     numbers in the messages between our processes and in our rows are.
+[[nodiscard]] auto HasOnlyNumbersInRange(const Json& document) -> bool;
+
+}  // namespace kcm::core
--- a/Libraries/LibEntry/term_row.cc
+++ b/Libraries/LibEntry/term_row.cc
@@ -1,6 +1,6 @@
 #include "LibEntry/term_row.h"
 
-#include "LibCore/json.h"
+#include "LibCore/json_decode.h"
 
 namespace kcm::entry {
 
@@ -18,16 +18,25 @@
     if (row.key != kTermKey) {
       continue;
     }
-    const auto document = core::Json::from_msgpack(row.value, true, false);
+    const auto document = core::ParseMessagePack(row.value);
     constexpr std::size_t kMembers = 4;
     const auto is_readable =
         document.is_array() && document.size() >= kMembers &&
+        core::HasOnlyNumbersInRange(document) &&
         document[0].is_number_integer() && document[1].is_string() &&
-        document[2].is_string() && document[3].is_number_unsigned();
+        document[2].is_string() && document[3].is_number_integer();
     if (!is_readable) {
       continue;
     }
-    newest = TermRow{document[0], document[1], {document[2], document[3]}};
+    core::Reason unused;
+    const auto address =
+        core::ParseAddress(document[2].get<std::string>() + ":" +
+                               std::to_string(document[3].get<std::int64_t>()),
+                           "address", unused);
+    if (!address) {
+      continue;
+    }
+    newest = TermRow{document[0], document[1], *address};
     if (document.size() > kMembers && document[kMembers].is_number_integer()) {
       newest->lease_rows_since = document[kMembers];
     }
