LibDispatch: Take only an answer at a worker's address for its successor

Found in review: an entry of the listing with the address of a silent worker and a later start time ended that worker's runs, though nobody had answered there. A worker that was only cut off then ran its task beside the new run (TWICE). The entry may come from another writer, and start times step with the clocks of machines.

Now a silent worker counts as replaced when another one has answered a poll at its address after its own last answer, or when the address refuses a call that names it; a refusal at an address that it had before shows nothing.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -96,7 +96,6 @@
 auto Dispatcher::SetFleet(const std::vector<WorkerInfo>& workers,
                           ClockReading now) -> void {
   fleet_known_ = true;
-  newest_at_address_.clear();
   for (auto& [id, session] : sessions_) {
     session.SetListed(false);
   }
@@ -120,10 +119,6 @@
                       {"draining", info.draining}});
     }
   }
-  for (const auto& info : workers) {
-    auto& newest = newest_at_address_[info.address.ToString()];
-    newest = std::max(newest, info.incarnation);
-  }
   health_.set_fleet_size(workers.size());
   slow_workers_.set_fleet_size(workers.size());
   next_plan_at_ = 0;
@@ -236,8 +231,10 @@
   }
   auto& session = found->second;
   call_schedule_.SetDueNow(call.worker);
-  if (result.end == CallEnd::kOtherIncarnation) {
-    EndReplacedWorker(call.worker, session, "another worker answers", now);
+  // A call to a former address of the worker shows nothing about it.
+  if (result.end == CallEnd::kOtherIncarnation &&
+      call.address == session.info().address) {
+    EndReplacedWorker(call.worker, session, "refused", now);
     return;
   }
   if (const auto* start = std::get_if<StartCall>(&call.command)) {
@@ -278,6 +275,10 @@
                       {"address", session.info().address.ToString()},
                       {"draining", false}});
     } else if (result.report) {
+      auto& newest = newest_at_address_[call.address.ToString()];
+      if (call.sent_at >= newest.sent_at) {
+        newest = {call.worker, call.sent_at};
+      }
       ObserveWitness(call.worker, *result.report, now);
     }
     if (session.poll_failure() && session.poll_failure() != former_failure &&
@@ -293,15 +294,14 @@
   next_plan_at_ = std::min(next_plan_at_, now.steady);
 }
 
-auto Dispatcher::IsReplacedInListing(const WorkerSession& session) const
-    -> bool {
+auto Dispatcher::IsReplaced(const WorkerSession& session) const -> bool {
   if (session.is_idle() || session.is_replaced() || !session.poll_failure()) {
     return false;
   }
   const auto newest =
       newest_at_address_.find(session.info().address.ToString());
   return newest != newest_at_address_.end() &&
-         newest->second > session.info().incarnation;
+         newest->second.worker != session.info().id;
 }
 
 auto Dispatcher::EndReplacedWorker(const std::string& worker,
@@ -370,9 +370,9 @@
     // A former bound may end before the listing shows that a start may have
     // reached a newer incarnation.
     if (fleet_known_) {
-      if (IsReplacedInListing(session->second)) {
+      if (IsReplaced(session->second)) {
         EndReplacedWorker(session->first, session->second,
-                          "another worker is listed", now);
+                          "another worker answered", now);
       }
       auto gone = session->second.TakeLapsedRuns(now.steady);
       auto left = TakeRunsOfLeftWorker(session->second, now);
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -201,10 +201,9 @@
                          WorkerSession& session,
                          const char* evidence,
                          ClockReading now) -> void;
-  /// @return whether a silent worker with runs has the address of one that was
-  ///     born later and is listed.
-  [[nodiscard]] auto IsReplacedInListing(const WorkerSession& session) const
-      -> bool;
+  /// @return whether another worker answered last at the address of a silent
+  ///     worker with runs.
+  [[nodiscard]] auto IsReplaced(const WorkerSession& session) const -> bool;
   auto StopRun(const TaskId& task, StopCause cause, ClockReading now) -> void;
   auto StopStep(Job& job, Step& step, StopCause cause, ClockReading now)
       -> void;
@@ -301,8 +300,12 @@
   /// Lease rows to be stored with the next batch.
   std::vector<StateRow> lease_rows_;
   core::Millis next_lease_rows_at_ = 0;
-  /// Incarnation of the youngest listed worker, by address.
-  std::map<std::string, std::int64_t> newest_at_address_;
+  /// The newest answered poll at an address.
+  struct AnswerAtAddress {
+    std::string worker;
+    core::Millis sent_at = 0;
+  };
+  std::map<std::string, AnswerAtAddress> newest_at_address_;
   /// The fleet's listing was read.
   bool fleet_known_ = false;
   std::uint64_t next_batch_ = 1;
--- a/Tests/LibDispatch/crashed_workers_test.cc
+++ b/Tests/LibDispatch/crashed_workers_test.cc
@@ -70,5 +70,45 @@
         CrashCase{"OnlySilent", 1, false, false, false, false, false}),
     [](const auto& info) { return info.param.name; });
 
+/// An entry with the address of a worker that is alive and cut off.
+struct EntryCase {
+  const char* name;
+  /// Relative to the incarnation of the worker.
+  std::int64_t younger_by;
+};
+
+class CutOffWorker : public testing::TestWithParam<EntryCase> {};
+
+// Guards against two runs of one task at once, after an entry that names no
+// worker in use was taken for the successor of one that is only cut off.
+TEST_P(CutOffWorker, IsWaitedForWhateverOtherEntriesName) {
+  DispatchSimulation simulation;
+  simulation.verbose = std::getenv("KCM_VERBOSE") != nullptr;
+  simulation.AddWorkers(1);
+  simulation.Submit("job", "batch", {DispatchSimulation::Step(1, 8, 20000)});
+  const auto runs = [&] { return simulation.RunsOf("job") == 1; };
+  ASSERT_TRUE(simulation.RunUntil(runs, 2000));
+  simulation.Run(900);
+  simulation.AddWorkers(2);
+  auto info = simulation.workers.at("w0").info();
+  info.id = "other";
+  info.incarnation += GetParam().younger_by;
+  simulation.workers.emplace(info.id, FakeWorker(info))
+      .first->second.set_up(false);
+  simulation.Run(1000);
+  simulation.unreachable.insert("w0");
+  simulation.Run(12000);
+  EXPECT_TRUE(simulation.RunUntil(runs, 2000));
+  EXPECT_EQ(simulation.invariants.violations, std::vector<std::string>{});
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         CutOffWorker,
+                         testing::Values(EntryCase{"Older", -1},
+                                         EntryCase{"OfTheSameTime", 0},
+                                         EntryCase{"YoungerAndNeverAnswering",
+                                                   1}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::dispatch
