LibEntry: Let reads wait for the next holder until their deadline

Found in review, for jobs about which no answer came in time: a read of a known job is refused after 500 ms without a holder, though its caller waits two seconds more and a holder is there before that.

Now a read waits until its deadline while the store answers, as somebody can take the term then. It changes nothing, and a refused caller asks for the same again. Changes of jobs are refused after 500 ms as before, and reads as well while the store is away.

--- a/Libraries/LibEntry/holder_client.cc
+++ b/Libraries/LibEntry/holder_client.cc
@@ -12,8 +12,9 @@
 using core::Millis;
 
 constexpr Millis kRetryPauseMs = 40;
-/// How long a request waits for the next holder, which has to claim the term
-/// and to read the state. A caller that is refused comes back later than that.
+/// How long a change of a job waits for the next holder, which has to claim the
+/// term and to read the state. A caller that is refused comes back later than
+/// that.
 constexpr Millis kTakeoverWaitMs = 500;
 /// The same while the store is away, so that nobody can take the term: an
 /// eighth of the shortest objective of our users' requests.
@@ -127,9 +128,13 @@
     -> void {
   const auto now = core::SuspendAwareNow();
   pending->vacant_since = pending->vacant_since.value_or(now);
-  const auto most = store_answers_() ? kTakeoverWaitMs : kStoreAwayWaitMs;
-  if (pending->relayed ||
-      (!pending->outcome_unknown && now - *pending->vacant_since >= most)) {
+  const auto may_take_over = store_answers_();
+  // A caller that is refused asks for the same again, and reads change nothing.
+  const auto waits_for_holder =
+      may_take_over && pending->request.verb == JobVerb::kRead;
+  const auto most = may_take_over ? kTakeoverWaitMs : kStoreAwayWaitMs;
+  if (pending->relayed || (!pending->outcome_unknown && !waits_for_holder &&
+                           now - *pending->vacant_since >= most)) {
     FailRequest(*pending);
     return;
   }
