LibEntry: Do not take a holder's pause for the time of an append

Found in review: a holder that was paused while an append was in flight measures its own pause as the time that the store takes, up to the limit of 600 ms, and then sends no copy of an append before three times that. The next lost answer of the store costs its callers 1.6 s, and a read that needs a stored append 2.3 s instead of 0.6 s while the store is silent.

Now the pause is noticed when the answer is handled, and appends sent before it measure nothing.

PausedHolder.AnswersReadsSoonAfterALostAnswer/Pause fails without the change (1,624 ms for a bound of 185 ms); the other five cases pass with and without it.

--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -284,6 +284,7 @@
   if (!active_ || !append_ || copy.sequence != sequence_) {
     return;
   }
+  CheckPause();
   --append_->copies_in_flight;
   const auto is_failure = end == platform::StoreAppendOutcome::kRefused ||
                           end == platform::StoreAppendOutcome::kUnknown;
@@ -292,7 +293,9 @@
                                end == platform::StoreAppendOutcome::kUnknown;
     return;
   }
-  if (end == platform::StoreAppendOutcome::kAppended) {
+  // A pause of this process is no time of the store.
+  if (end == platform::StoreAppendOutcome::kAppended &&
+      copy.attempt > attempt_before_pause_) {
     usual_append_ms_ = std::min(kMaxUsualAppendMs,
                                 std::max(core::SuspendAwareNow() - copy.sent_at,
                                          usual_append_ms_ * 7 / 8));
