LibDispatch tests: Show that a deadly task is started without end

No test had a task that crashes workers: the simulation's workers crashed for causes of their own.

DispatchSimulation can crash a worker under a task that is named, some time after its start; the worker is back under its id 2.5 s later. InvariantCheck fails a third start of a task under which it crashed three workers, and accepts a failed job also if two workers crashed under one of its tasks.

--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -194,6 +195,37 @@
 
   auto dispatcher() -> Dispatcher& { return *dispatcher_; }
 
+  /// Ends all runs of a worker, which is back under its id some seconds later.
+  /// @param culprit the task that crashed it; nothing if none did.
+  auto CrashWorker(const std::string& id,
+                   const std::optional<TaskId>& culprit = std::nullopt)
+      -> void {
+    auto& worker = workers.at(id);
+    if (down_.contains(id)) {
+      return;
+    }
+    ++crashes;
+    stale_listings[id] = worker.info();
+    const auto lost = worker.Crash(now);
+    down_.insert(id);
+    Schedule(crash_ms, [this, id] {
+      down_.erase(id);
+      stale_listings.erase(id);
+    });
+    for (const auto& run : lost) {
+      lost_core_s += CoresOf(run.work.demand) *
+                     static_cast<double>(run.worked_ms - run.resumed_ms) / 1000;
+      invariants.OnCrash(run, culprit);
+      if (verbose) {
+        std::cout << now << " crash of " << id << " under " << run.task.job
+                  << "." << run.task.step << "." << run.task.index << "\n";
+      }
+      if (invariants.SpecOf(run.task).gang) {
+        BreakGang(run);
+      }
+    }
+  }
+
   std::map<std::string, FakeWorker> workers;
   /// Workers that the platform no longer lists, and those that do not answer.
   std::set<std::string> unlisted;
@@ -223,6 +255,13 @@
   bool is_vacant = false;
   core::Millis now = 0;
   std::int64_t fence = 1;
+  /// Tasks that crash each worker that starts them, and how long after.
+  std::map<TaskId, core::Millis> deadly;
+  /// How long a worker that crashed is down.
+  core::Millis crash_ms = 2500;
+  /// Crashes of workers, and the work that they ended.
+  int crashes = 0;
+  double lost_core_s = 0;
   /// Actual run time of a task, by job; the estimate otherwise.
   std::map<std::string, core::Millis> run_times_ms;
 
@@ -258,6 +297,9 @@
     if (store_up) {
       confirmed_at_ = now;
     }
+    if (!deadly.empty()) {
+      CrashDeadlyWorkers();
+    }
     AdvanceRuns();
     for (auto& [id, worker] : workers) {
       for (const auto& end : worker.TakeAcknowledged()) {
@@ -377,6 +419,25 @@
     }
   }
 
+  auto CrashDeadlyWorkers() -> void {
+    std::vector<std::pair<std::string, TaskId>> crashed;
+    for (const auto& [id, worker] : workers) {
+      const auto runs = worker.runs();
+      const auto culprit =
+          std::find_if(runs.begin(), runs.end(), [&](const auto& entry) {
+            const auto found = deadly.find(entry.first);
+            return found != deadly.end() &&
+                   now - entry.second.began_at >= found->second;
+          });
+      if (culprit != runs.end()) {
+        crashed.emplace_back(id, culprit->first);
+      }
+    }
+    for (const auto& [id, culprit] : crashed) {
+      CrashWorker(id, culprit);
+    }
+  }
+
   auto AdvanceRuns() -> void {
     std::map<std::tuple<std::string, std::int64_t, std::int64_t>, std::int64_t>
         present;
@@ -491,7 +552,8 @@
   auto DeliverCall(const WorkerCall& call, std::int64_t token, int generation)
       -> void {
     const auto there = RandomSpan(1, 20);
-    if (unreachable.contains(call.worker) || !workers.at(call.worker).up() ||
+    if (unreachable.contains(call.worker) || down_.contains(call.worker) ||
+        !workers.at(call.worker).up() ||
         (generation == generation_ &&
          unreachable_for_newest.contains(call.worker))) {
       Schedule(800, [this, call, generation] {
@@ -513,6 +575,12 @@
       return;
     }
     Schedule(there, [this, call, token, generation] {
+      if (down_.contains(call.worker)) {
+        Schedule(800, [this, call, generation] {
+          HandleResult(call, {}, generation);
+        });
+        return;
+      }
       if (const auto* poll = std::get_if<PollCall>(&call.command);
           poll != nullptr && poll->wait_ms > 0) {
         AwaitPoll(call, *poll, token, now + poll->wait_ms, generation,
@@ -642,6 +710,8 @@
 
   std::mt19937 random_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  /// Workers that have crashed and are not back yet.
+  std::set<std::string> down_;
   std::vector<FormerHolder> former_holders_;
   /// When the newest value of a row was stored, by key.
   std::map<std::string, core::Millis> stored_at_;
--- a/Tests/LibDispatch/invariant_check.h
+++ b/Tests/LibDispatch/invariant_check.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -64,6 +65,10 @@
     const auto& task = start.task;
     ++starts[task];
     Require(running == 0, "while another run exists", task, now);
+    if (crashes_by_[task] >= kCrashesBeforeLastStarts) {
+      Require(++last_starts_[task] <= kMaxLastStarts,
+              "a deadly task started too often", task, now);
+    }
     Require(!acknowledged_done_.contains(task), "after its end", task, now);
     last_start_[task] = now;
     for (const auto before : SpecOf(task).after) {
@@ -90,6 +95,16 @@
     }
   }
 
+  /// A worker crashed while the run was on it.
+  /// @param culprit the task that crashed it; nothing if none did.
+  auto OnCrash(const FakeRun& run, const std::optional<TaskId>& culprit)
+      -> void {
+    ++crashes_under_[CountedTask(run.task)];
+    if (run.task == culprit) {
+      ++crashes_by_[run.task];
+    }
+  }
+
   /// Checks starts against an end that a holder has acknowledged.
   auto OnAcknowledged(const EndReport& end, core::Millis now) -> void {
     if (SpecOf(end.task).long_running) {
@@ -110,14 +125,21 @@
     }
   }
 
-  /// Checks that a job fails only if one of its tasks used up its attempts.
+  /// Checks that a job fails only if one of its tasks used up its attempts, or
+  /// if two workers crashed under one.
   auto OnJobFailed(const std::string& job, core::Millis now) -> void {
     const auto used_up =
         std::any_of(failed_.begin(), failed_.end(), [&](const auto& entry) {
           return entry.first.job == job &&
                  entry.second.size() >= MaxAttempts(entry.first);
         });
-    Require(used_up, "failed with attempts left", {job, 0, 0, 0}, now);
+    const auto may_give_up = std::any_of(
+        crashes_under_.begin(), crashes_under_.end(), [&](const auto& entry) {
+          return entry.first.job == job &&
+                 entry.second >= kCrashesBeforeGivingUp;
+        });
+    Require(used_up || may_give_up, "failed with attempts left", {job, 0, 0, 0},
+            now);
   }
 
   [[nodiscard]] auto SpecOf(const TaskId& task) const -> const StepSpec& {
@@ -131,6 +153,11 @@
   std::vector<std::string> violations;
 
  private:
+  static constexpr int kCrashesBeforeGivingUp = 2;
+  /// A task that crashed this many workers may be started so often again.
+  static constexpr int kCrashesBeforeLastStarts = 3;
+  static constexpr int kMaxLastStarts = 2;
+
   auto Require(bool holds,
                const std::string& what,
                const TaskId& task,
@@ -158,6 +185,10 @@
   /// Jobs whose cancellation is stored, and the batches of the others.
   std::set<std::string> cancelled_;
   std::map<std::string, std::uint64_t> unstored_cancels_;
+  /// Crashes of workers on which a task ran, and those that the task caused.
+  std::map<TaskId, int> crashes_under_;
+  std::map<TaskId, int> crashes_by_;
+  std::map<TaskId, int> last_starts_;
   std::map<TaskId, core::Millis> last_start_;
   /// End times of the runs that were not stopped.
   std::map<FakeWorker::Key, core::Millis> ended_at_;
