--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -16,6 +16,9 @@
 
 constexpr std::string_view kJobPrefix = "j/";
 constexpr std::string_view kTaskPrefix = "t/";
+/// Index of the crash evidence in the row of a task, which a task without any
+/// lacks.
+constexpr std::size_t kEvidenceElement = 7;
 
 auto ToText(const Json& document) -> std::string {
   const auto bytes = Json::to_msgpack(document);
@@ -72,10 +75,30 @@
 }
 
 auto RowOfTask(const TaskId& id, const Task& task) -> StateRow {
-  return {TaskKey(id),
-          ToText(Json::array({static_cast<int>(task.phase), task.attempt,
-                              task.failures, task.failed_attempt, task.worker,
-                              task.incarnation, task.checkpoint}))};
+  auto document = Json::array({static_cast<int>(task.phase), task.attempt,
+                               task.failures, task.failed_attempt, task.worker,
+                               task.incarnation, task.checkpoint});
+  if (const auto& evidence = task.crash_evidence; evidence.crashes > 0) {
+    document.push_back(
+        Json::array({evidence.crashes, evidence.as_candidate,
+                     evidence.as_only_candidate, evidence.attempt}));
+  }
+  return {TaskKey(id), ToText(document)};
+}
+
+auto DecodeEvidence(const Json& row) -> std::optional<CrashEvidence> {
+  constexpr std::size_t kMembers = 4;
+  if (!row.is_array() || row.size() < kMembers) {
+    return std::nullopt;
+  }
+  const auto crashes = core::ToWholeNumber(row[0]);
+  const auto as_candidate = core::ToWholeNumber(row[1]);
+  const auto as_only_candidate = core::ToWholeNumber(row[2]);
+  const auto attempt = core::ToWholeNumber(row[3]);
+  if (!crashes || !as_candidate || !as_only_candidate || !attempt) {
+    return std::nullopt;
+  }
+  return CrashEvidence{*crashes, *as_candidate, *as_only_candidate, *attempt};
 }
 
 /// Reads the members that RowOfTask() writes.
@@ -92,7 +115,11 @@
   const auto failures = core::ToWholeNumber(row[2]);
   const auto failed_attempt = core::ToWholeNumber(row[3]);
   const auto incarnation = core::ToWholeNumber(row[5]);
-  if (!phase || !attempt || !failures || !failed_attempt || !incarnation) {
+  const auto evidence = row.size() > kEvidenceElement
+                            ? DecodeEvidence(row[kEvidenceElement])
+                            : CrashEvidence{};
+  if (!phase || !attempt || !failures || !failed_attempt || !incarnation ||
+      !evidence) {
     return false;
   }
   task.phase = static_cast<TaskPhase>(*phase);
@@ -102,6 +129,7 @@
   task.worker = row[4];
   task.incarnation = *incarnation;
   task.checkpoint = row[6];
+  task.crash_evidence = *evidence;
   task.stored = true;
   return true;
 }
@@ -183,6 +211,7 @@
   if (!DecodeTask(core::ParseMessagePack(row.value), *task)) {
     return Unreadable(reason, "The row of a task has no valid members.");
   }
+  job->NoteEvidence(task->crash_evidence);
   auto* step = job->FindStep(*id);
   step->done += task->phase == TaskPhase::kDone ? 1 : 0;
   if (task->attempt > 0 && job->phase == JobPhase::kQueued) {
--- a/Libraries/LibDispatch/worker_health.cc
+++ b/Libraries/LibDispatch/worker_health.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxSuspectedPart = 10;
 /// Pause after a refused start, which loses no work.
 constexpr core::Millis kRefusalPauseMs = 500;
+/// A worker that crashes again within this time may do so by itself.
+constexpr core::Millis kCrashLoopMs = 10000;
 
 }  // namespace
 
@@ -61,6 +63,25 @@
       std::max(record.cordoned_until, now + kRefusalPauseMs);
 }
 
+auto WorkerHealth::RecordCrash(const std::string& address,
+                               bool is_explained,
+                               core::Millis now) -> bool {
+  const auto is_weak =
+      now - watched_since_ < kCrashLoopMs || HasCrashed(address, now) ||
+      (unexplained_crash_at_ && now - *unexplained_crash_at_ < kCrashLoopMs);
+  crashed_at_[address] = now;
+  if (!is_explained) {
+    unexplained_crash_at_ = now;
+  }
+  return is_weak;
+}
+
+auto WorkerHealth::HasCrashed(const std::string& address,
+                              core::Millis now) const -> bool {
+  const auto found = crashed_at_.find(address);
+  return found != crashed_at_.end() && now - found->second < kCrashLoopMs;
+}
+
 auto WorkerHealth::RecordSuccess(const std::string& worker,
                                  core::Millis began_at) -> void {
   auto& record = records_[worker];
