LibCore: Cut a long log value in place

The build of the users' platform failed: g++ 12 at -O2 takes the sum of a cut string and "..." for an access out of bounds (-Werror=array-bounds). No test; the build itself shows it.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -109,9 +109,12 @@
     return "\"nested too deeply\"";
   }
   auto text = ToJsonText(value);
-  return text.size() <= kMaxValueBytes
-             ? text
-             : ToJsonText(text.substr(0, kMaxValueBytes) + "...");
+  if (text.size() <= kMaxValueBytes) {
+    return text;
+  }
+  text.resize(kMaxValueBytes);
+  text += "...";
+  return ToJsonText(text);
 }
 
 /// @return an object with as many of the fields as fit in a line, each as
