LibDispatch: Keep the address of a silent worker in its lease row

All processes were killed at 34.1 s, before the worker was back, and the next holder found it listed no more. Without an address it polled nothing, waited for the leases, and saw no answer that shows a crash.

The lease row, written while a worker is silent, now names where it was listed. The next holder polls that address, and a refusal or an answer tells. Rows of earlier versions lack the address and read as before.

CrashedWorkerTakeover fails without the change.

--- a/Libraries/LibDispatch/dispatcher_leases.cc
+++ b/Libraries/LibDispatch/dispatcher_leases.cc
@@ -89,6 +89,9 @@
     WorkerInfo info;
     info.id = lease->worker;
     info.incarnation = is_bound ? lease->incarnation : placed_incarnation;
+    if (is_bound) {
+      info.address = lease->address;
+    }
     const auto bound =
         is_bound ? AddLeaseBound(lease->remaining_ms, lease->witnesses)
                  : common_bound_;
@@ -113,9 +116,9 @@
     lease_rows_.push_back(DeletedLeaseRow(worker));
     return;
   }
-  lease_rows_.push_back(
-      EncodeLeaseRow({worker, session.info().incarnation, *change->remaining_ms,
-                      former_leases_.series, FindWitnesses(now)}));
+  lease_rows_.push_back(EncodeLeaseRow(
+      {worker, session.info().incarnation, *change->remaining_ms,
+       former_leases_.series, FindWitnesses(now), session.info().address}));
 }
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/lease_row.cc
+++ b/Libraries/LibDispatch/lease_row.cc
@@ -12,14 +12,35 @@
 using core::Json;
 
 constexpr std::string_view kLeasePrefix = "l/";
-/// Rows of earlier versions have no witnesses.
+/// Rows of earlier versions have no witnesses, and later ones no address.
 constexpr std::size_t kNumbers = 3;
+constexpr std::size_t kAddressElement = 4;
+
+/// Reads the address of a worker, which a row may lack.
+/// @return false if it is invalid.
+auto DecodeAddress(const Json& row, core::Address& address) -> bool {
+  if (row.size() <= kAddressElement) {
+    return true;
+  }
+  const auto& text = row[kAddressElement];
+  core::Reason unnamed;
+  const auto parsed =
+      text.is_string()
+          ? core::ParseAddress(text.get<std::string>(), "address", unnamed)
+          : std::nullopt;
+  address = parsed.value_or(core::Address{});
+  return parsed.has_value();
+}
 
 }  // namespace
 
 auto EncodeLeaseRow(const LeaseRow& row) -> StateRow {
-  const auto bytes = Json::to_msgpack(Json::array(
-      {row.incarnation, row.remaining_ms, row.series, ToJson(row.witnesses)}));
+  auto document = Json::array(
+      {row.incarnation, row.remaining_ms, row.series, ToJson(row.witnesses)});
+  if (!row.address.host.empty()) {
+    document.push_back(row.address.ToString());
+  }
+  const auto bytes = Json::to_msgpack(document);
   return {std::string(kLeasePrefix) + row.worker, {bytes.begin(), bytes.end()}};
 }
 
@@ -35,8 +56,8 @@
     -> std::optional<LeaseRow> {
   const auto document = core::ParseMessagePack(row.value);
   const auto is_list =
-      document.is_array() &&
-      (document.size() == kNumbers || document.size() == kNumbers + 1) &&
+      document.is_array() && document.size() >= kNumbers &&
+      document.size() <= kAddressElement + 1 &&
       std::all_of(
           document.begin(), document.begin() + kNumbers,
           [](const Json& member) { return core::ToWholeNumber(member); });
@@ -51,6 +72,11 @@
   }
   LeaseRow lease{row.key.substr(kLeasePrefix.size()), document[0], document[1],
                  document[2], *witnesses};
+  if (!DecodeAddress(document, lease.address)) {
+    reason = {core::ErrorKind::kBadInput, "address",
+              "The lease row names no valid address."};
+    return std::nullopt;
+  }
   if (lease.worker.empty()) {
     reason = {core::ErrorKind::kBadInput, "", "The lease row names no worker."};
     return std::nullopt;
--- a/Libraries/LibDispatch/lease_row.h
+++ b/Libraries/LibDispatch/lease_row.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "LibCore/address.h"
 #include "LibCore/clock.h"
 #include "LibCore/reason.h"
 #include "LibDispatch/clock_witness.h"
@@ -27,6 +28,9 @@
   std::int64_t series = 0;
   /// Witnesses of the moment at which the row was written.
   ClockWitnesses witnesses = {};
+  /// Where the worker was last listed, as it may be listed no more when the row
+  /// is read; without a host if unknown.
+  core::Address address = {};
 };
 
 [[nodiscard]] auto EncodeLeaseRow(const LeaseRow& row) -> StateRow;
--- a/Tests/LibDispatch/crashed_workers_test.cc
+++ b/Tests/LibDispatch/crashed_workers_test.cc
@@ -70,6 +70,27 @@
         CrashCase{"OnlySilent", 1, false, false, false, false, false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a wait for the leases, and a crash that is not counted, since
+// the worker was listed no more when the next holder read the state.
+TEST(CrashedWorkerTakeover, FindsTheSuccessorOfAWorkerThatIsNotListed) {
+  constexpr core::Millis kRestartMs = 1000;
+  DispatchSimulation simulation;
+  simulation.AddWorkers(1);
+  simulation.Submit("job", "batch", {DispatchSimulation::Step(1, 8, 20000)});
+  const auto runs = [&] { return simulation.RunsOf("job") == 1; };
+  ASSERT_TRUE(simulation.RunUntil(runs, 2000));
+  simulation.Run(900);
+  simulation.AddWorkers(1);
+  simulation.CrashAndReplace("w0", {2500, true, true});
+  // The holder sees two polls fail and stores the bound on the leases.
+  simulation.Run(2400);
+  simulation.is_vacant = true;
+  simulation.Run(DispatchSimulation::kUnlistedAfterMs - 2000);
+  simulation.ReplaceHolder();
+  EXPECT_TRUE(simulation.RunUntil(runs, kRestartMs));
+  EXPECT_EQ(simulation.invariants.violations, std::vector<std::string>{});
+}
+
 /// An entry with the address of a worker that is alive and cut off.
 struct EntryCase {
   const char* name;
