--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 import harness  # noqa: E402
 from harness import TROUBLE, Case, Run, Worker, job_of, until  # noqa: E402
 
-MACHINES = 6  # one of them is cut: less than 0.2 of all
+MACHINES = 7  # one of them drains and is cut: less than 0.15 of all
 DRAIN_S = 2.5
 CUT_AFTER_S = 1.0
 CUT_S = 5.0
