LibEntry: Log for how long a worker was silent when its listing went

The log could not tell: a listing is deleted when its worker leaves, and expires after three heartbeats without one, and both look alike to the holder.

Each heartbeat is a record. TableFollower now passes a time before which the rows of a read were not written: when the newest read was sent that returned all there was. FleetTable keeps it for each worker, and a deletion is logged as `listing_removed` with the upper bound on the worker's silence.

Tests: TableFollowerTest, FleetTableRemoval.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -63,6 +63,7 @@
     EventInfo{Event::kTaskImplicated, "task_implicated", Severity::kWarning},
     EventInfo{Event::kTaskGivenUp, "task_given_up", Severity::kWarning},
     EventInfo{Event::kWorkerReplaced, "worker_replaced", Severity::kWarning},
+    EventInfo{Event::kListingRemoved, "listing_removed", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -61,6 +61,7 @@
   kTaskImplicated = 333,
   kTaskGivenUp = 334,
   kWorkerReplaced = 335,
+  kListingRemoved = 336,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -94,6 +94,22 @@
   next_plan_at_ = 0;
 }
 
+auto Dispatcher::ObserveListingRemoval(
+    const std::string& worker,
+    std::optional<core::Millis> max_silence_ms) -> void {
+  const auto session = sessions_.find(worker);
+  if (session == sessions_.end()) {
+    return;
+  }
+  core::Json fields = {{"worker", worker},
+                       {"draining", session->second.info().draining},
+                       {"runs", session->second.runs().size()}};
+  if (max_silence_ms) {
+    fields["max_silence_ms"] = *max_silence_ms;
+  }
+  RecordDecision(core::Event::kListingRemoved, std::move(fields));
+}
+
 auto Dispatcher::SetFleet(const std::vector<WorkerInfo>& workers,
                           ClockReading now) -> void {
   fleet_known_ = true;
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -71,6 +71,12 @@
   auto SetQueues(const std::map<std::string, QueuePolicy>& queues) -> void;
   /// Replaces the accelerators that are guaranteed to each client account.
   auto SetGuarantees(std::map<std::string, std::int64_t> guarantees) -> void;
+  /// Records that the platform deleted a worker's listing; SetFleet() follows.
+  /// @param max_silence_ms upper bound on the time from the worker's last
+  ///     heartbeat to the deletion; nothing if there is none.
+  auto ObserveListingRemoval(const std::string& worker,
+                             std::optional<core::Millis> max_silence_ms)
+      -> void;
   /// Replaces the listed workers.
   auto SetFleet(const std::vector<WorkerInfo>& workers, ClockReading now)
       -> void;
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -77,9 +77,7 @@
   service->operators_follower_ = std::make_unique<TableFollower>(
       dependencies.loop, dependencies.store,
       FollowSettings{platform::Table::kConfiguration, kOperatorsWaitMs, 0},
-      [raw](const std::vector<dispatch::StateRow>& rows, bool /*whole*/) {
-        raw->OnOperatorRows(rows);
-      });
+      [raw](const RowBatch& batch) { raw->OnOperatorRows(batch.rows); });
   service->peers_.OnNewerRoutes(
       [raw](const core::Address& peer) { raw->FetchRoutes(peer); });
   dependencies.loop.Every(kTickMs, [raw] { raw->RunDueWork(); });
--- a/Libraries/LibEntry/fleet_table.cc
+++ b/Libraries/LibEntry/fleet_table.cc
@@ -1,17 +1,16 @@
 #include "LibEntry/fleet_table.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibCore/event.h"
 
 namespace kcm::entry {
 
-auto FleetTable::Apply(const std::vector<dispatch::StateRow>& rows, bool whole)
-    -> bool {
-  const auto previous = whole ? std::exchange(workers_, {})
-                              : std::map<std::string, dispatch::WorkerInfo>{};
+auto FleetTable::Apply(const RowBatch& batch, core::Millis now) -> bool {
+  const auto previous = batch.whole ? std::exchange(listings_, {}) : Listings{};
   auto changed = false;
-  for (const auto& row : rows) {
+  for (const auto& row : batch.rows) {
     core::Reason reason;
     auto info = row.value.empty()
                     ? std::nullopt
@@ -21,23 +20,48 @@
         core::LogEvent(core::Event::kRecordRejected,
                        {{"key", row.key}, {"reason", reason.message}});
       }
-      changed = workers_.erase(row.key) > 0 || changed;
+      changed = Remove(row, now) || changed;
       continue;
     }
-    auto& known = workers_[row.key];
-    if (known != *info) {
-      known = std::move(*info);
+    auto& listing = listings_[row.key];
+    listing.written_after = batch.written_after;
+    if (listing.info != *info) {
+      listing.info = std::move(*info);
       changed = true;
     }
   }
-  return whole ? workers_ != previous : changed;
+  return batch.whole ? !HaveSameWorkers(listings_, previous) : changed;
+}
+
+auto FleetTable::Remove(const dispatch::StateRow& row, core::Millis now)
+    -> bool {
+  const auto listing = listings_.extract(row.key);
+  if (listing.empty()) {
+    return false;
+  }
+  const auto is_deletion = row.value.empty();
+  if (is_deletion) {
+    const auto written_after = listing.mapped().written_after;
+    removals_.push_back({row.key, written_after
+                                      ? std::optional(now - *written_after)
+                                      : std::nullopt});
+  }
+  return true;
+}
+
+auto FleetTable::HaveSameWorkers(const Listings& left, const Listings& right)
+    -> bool {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](const auto& one, const auto& other) {
+                      return one.second.info == other.second.info;
+                    });
 }
 
 auto FleetTable::Workers() const -> std::vector<dispatch::WorkerInfo> {
   std::vector<dispatch::WorkerInfo> workers;
-  workers.reserve(workers_.size());
-  for (const auto& [id, info] : workers_) {
-    workers.push_back(info);
+  workers.reserve(listings_.size());
+  for (const auto& [id, listing] : listings_) {
+    workers.push_back(listing.info);
   }
   return workers;
 }
--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -20,7 +20,7 @@
                              FollowSettings settings,
                              OnRows on_rows)
     : state_(std::make_shared<State>(
-          State{loop, store, settings, std::move(on_rows), {}, 0, 0})) {
+          State{loop, store, settings, std::move(on_rows), {}, 0, 0, 0})) {
   ReadWhole(state_, "");
 }
 
@@ -28,15 +28,17 @@
                               const std::string& after) -> void {
   state->store.ReadNewest(
       state->settings.table, after, kReadTimeoutMs,
-      [weak = Weak(state), after](platform::TableReadResult read) {
+      [weak = Weak(state), after,
+       sent_at = core::SuspendAwareNow()](platform::TableReadResult read) {
         if (const auto alive = weak.lock()) {
-          OnPage(alive, after, std::move(read));
+          OnPage(alive, after, sent_at, std::move(read));
         }
       });
 }
 
 auto TableFollower::OnPage(const std::shared_ptr<State>& state,
                            const std::string& after,
+                           core::Millis sent_at,
                            platform::TableReadResult read) -> void {
   if (!read.answered) {
     Retry(state, true);
@@ -47,6 +49,7 @@
     state->pages.clear();
     // Later pages may contain newer rows; reading from here repeats them.
     state->offset = read.end_offset;
+    state->caught_up_at = sent_at;
   }
   const auto last_key = read.rows.empty() ? after : read.rows.back().key;
   std::move(read.rows.begin(), read.rows.end(),
@@ -55,8 +58,7 @@
     ReadWhole(state, last_key);
     return;
   }
-  const auto rows = std::exchange(state->pages, {});
-  state->on_rows(rows, true);
+  state->on_rows({std::exchange(state->pages, {}), true, std::nullopt});
   state->loop.After(state->settings.pause_ms, [weak = Weak(state)] {
     if (const auto alive = weak.lock()) {
       ReadChanges(alive);
@@ -65,18 +67,19 @@
 }
 
 auto TableFollower::ReadChanges(const std::shared_ptr<State>& state) -> void {
-  state->store.ReadFrom(
-      state->settings.table, state->offset, state->settings.wait_ms,
-      kReadTimeoutMs,
-      [weak = Weak(state)](const platform::TableReadResult& read) {
-        if (const auto alive = weak.lock()) {
-          OnChanges(alive, read);
-        }
-      });
+  state->store.ReadFrom(state->settings.table, state->offset,
+                        state->settings.wait_ms, kReadTimeoutMs,
+                        [weak = Weak(state), sent_at = core::SuspendAwareNow()](
+                            platform::TableReadResult read) {
+                          if (const auto alive = weak.lock()) {
+                            OnChanges(alive, sent_at, std::move(read));
+                          }
+                        });
 }
 
 auto TableFollower::OnChanges(const std::shared_ptr<State>& state,
-                              const platform::TableReadResult& read) -> void {
+                              core::Millis sent_at,
+                              platform::TableReadResult read) -> void {
   if (read.expired || (read.answered && read.first_offset > state->offset)) {
     ReadWhole(state, "");
     return;
@@ -87,8 +90,12 @@
   }
   state->answered_at = core::SuspendAwareNow();
   state->offset += static_cast<std::int64_t>(read.rows.size());
+  const auto written_after = state->caught_up_at;
+  if (state->offset >= read.end_offset) {
+    state->caught_up_at = sent_at;
+  }
   if (!read.rows.empty()) {
-    state->on_rows(read.rows, false);
+    state->on_rows({std::move(read.rows), false, written_after});
   }
   state->loop.After(state->settings.pause_ms, [weak = Weak(state)] {
     if (const auto alive = weak.lock()) {
--- a/Libraries/LibEntry/table_follower.h
+++ b/Libraries/LibEntry/table_follower.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,15 +22,23 @@
   core::Millis pause_ms = 0;
 };
 
+/// Rows of one answer of the store.
+struct RowBatch {
+  std::vector<dispatch::StateRow> rows;
+  /// The rows are the complete table, not changes.
+  bool whole = false;
+  /// All rows were written after this time, on the suspend-aware clock; nothing
+  /// if that is not known.
+  std::optional<core::Millis> written_after;
+};
+
 /// Reads a complete table and then its changes until it is destroyed.
 ///
 /// Each change is a record, which the store deletes after its retention time.
 /// If that happens before it is read, the complete table is read again.
 class TableFollower {
  public:
-  /// @param whole the rows are the complete table, not changes.
-  using OnRows = std::function<void(const std::vector<dispatch::StateRow>& rows,
-                                    bool whole)>;
+  using OnRows = std::function<void(const RowBatch& batch)>;
 
   TableFollower(net::EventLoop& loop,
                 platform::KeyedStore& store,
@@ -51,6 +60,9 @@
     /// Rows of the pages read so far.
     std::vector<dispatch::StateRow> pages;
     std::int64_t offset = 0;
+    /// When the newest read was sent that returned all records there were:
+    /// those from `offset` on were written later.
+    core::Millis caught_up_at = 0;
     core::Millis answered_at = 0;
   };
   using Weak = std::weak_ptr<State>;
@@ -59,11 +71,14 @@
                         const std::string& after) -> void;
   static auto ReadChanges(const std::shared_ptr<State>& state) -> void;
   static auto Retry(const std::shared_ptr<State>& state, bool whole) -> void;
+  /// @param sent_at when the read was sent, on the suspend-aware clock.
   static auto OnPage(const std::shared_ptr<State>& state,
                      const std::string& after,
+                     core::Millis sent_at,
                      platform::TableReadResult read) -> void;
   static auto OnChanges(const std::shared_ptr<State>& state,
-                        const platform::TableReadResult& read) -> void;
+                        core::Millis sent_at,
+                        platform::TableReadResult read) -> void;
 
   std::shared_ptr<State> state_;
 };
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -101,9 +101,7 @@
   fleet_follower_ = std::make_unique<TableFollower>(
       dependencies_.loop, dependencies_.store,
       FollowSettings{platform::Table::kFleet, 0, kFleetReadPauseMs},
-      [this](const std::vector<dispatch::StateRow>& rows, bool whole) {
-        OnFleetRows(rows, whole);
-      });
+      [this](const RowBatch& batch) { OnFleetRows(batch); });
 }
 
 auto TermHolder::ReadClocks() -> dispatch::ClockReading {
@@ -119,11 +117,13 @@
   dispatcher_.SetGuarantees(routes.guarantees);
 }
 
-auto TermHolder::OnFleetRows(const std::vector<dispatch::StateRow>& rows,
-                             bool whole) -> void {
-  if (!fleet_.Apply(rows, whole)) {
+auto TermHolder::OnFleetRows(const RowBatch& batch) -> void {
+  if (!fleet_.Apply(batch, core::SuspendAwareNow())) {
     return;
   }
+  for (const auto& removal : fleet_.TakeRemovals()) {
+    dispatcher_.ObserveListingRemoval(removal.worker, removal.max_silence_ms);
+  }
   dispatcher_.SetFleet(fleet_.Workers(), ReadClocks());
   RequestPass();
 }
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -158,8 +158,7 @@
   auto SendWorkerCalls() -> void;
   auto LogDecisions() -> void;
   auto LoseTerm() -> void;
-  auto OnFleetRows(const std::vector<dispatch::StateRow>& rows, bool whole)
-      -> void;
+  auto OnFleetRows(const RowBatch& batch) -> void;
   auto AnswerOnceStored(std::uint64_t batch,
                         HolderAnswer answer,
                         const AnswerDone& done,
--- a/Tests/LibEntry/fake_store.h
+++ b/Tests/LibEntry/fake_store.h
@@ -79,8 +79,9 @@
     platform::TableReadResult read;
     read.answered = !refuse;
     const auto& log = tables[table];
-    for (auto index = static_cast<std::size_t>(offset); index < log.size();
-         ++index) {
+    read.end_offset = static_cast<std::int64_t>(log.size());
+    for (auto index = static_cast<std::size_t>(offset);
+         index < log.size() && read.rows.size() < change_rows; ++index) {
       read.rows.push_back(log[index]);
     }
     loop_.After(5, [done, read] { done(read); });
@@ -102,6 +103,8 @@
   bool refuse_state_reads = false;
   /// Maximum number of rows in one answer.
   std::size_t page_rows = 500;
+  /// The same for a read of changes.
+  std::size_t change_rows = 500;
   std::size_t rows_read = 0;
 
  private:
--- a/Tests/LibEntry/fleet_table_test.cc
+++ b/Tests/LibEntry/fleet_table_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace kcm::entry {
@@ -39,8 +40,9 @@
   PlatformDecoders decoders;
   decoders.decode_worker = DecodeRack;
   FleetTable table(decoders);
-  EXPECT_TRUE(table.Apply({{"a", "r1"}, {"b", "r2"}}, true));
-  EXPECT_EQ(table.Apply(GetParam().rows, GetParam().whole), GetParam().changed);
+  EXPECT_TRUE(table.Apply({{{"a", "r1"}, {"b", "r2"}}, true, {}}, 0));
+  EXPECT_EQ(table.Apply({GetParam().rows, GetParam().whole, 0}, 0),
+            GetParam().changed);
   EXPECT_EQ(table.Workers().size(), GetParam().workers);
 }
 
@@ -61,5 +63,49 @@
         ChangeCase{"whole_edited", {{"a", "r1"}, {"b", "r3"}}, true, true, 2}),
     [](const auto& info) { return info.param.name; });
 
+struct RemovalCase {
+  std::string name;
+  /// What is read after the complete table, with a heartbeat of "a" that was
+  /// written after 1000 ms.
+  std::vector<dispatch::StateRow> rows;
+  bool whole = false;
+  /// Silences of removed workers, in ms; nothing where no heartbeat was seen.
+  std::vector<std::optional<core::Millis>> silences;
+};
+
+class FleetTableRemoval : public testing::TestWithParam<RemovalCase> {};
+
+// A worker whose listing is deleted right after a heartbeat has left; one that
+// was silent for long may only be cut off and still run its tasks. A bound that
+// is too low, or one for a worker that is merely missing, confuses the two.
+TEST_P(FleetTableRemoval, TellsForHowLongAWorkerWasSilentAtMost) {
+  PlatformDecoders decoders;
+  decoders.decode_worker = DecodeRack;
+  FleetTable table(decoders);
+  std::ignore = table.Apply({{{"a", "r1"}, {"b", "r2"}}, true, {}}, 900);
+  std::ignore = table.Apply({{{"a", "r1"}}, false, 1000}, 1400);
+  std::ignore = table.Apply({GetParam().rows, GetParam().whole, 1400}, 3000);
+  std::vector<std::optional<core::Millis>> silences;
+  for (const auto& removal : table.TakeRemovals()) {
+    silences.push_back(removal.max_silence_ms);
+  }
+  EXPECT_EQ(silences, GetParam().silences);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows,
+    FleetTableRemoval,
+    testing::Values(
+        RemovalCase{"deleted", {{"a", ""}}, false, {2000}},
+        RemovalCase{"deleted_after_a_heartbeat",
+                    {{"a", "r1"}, {"a", ""}},
+                    false,
+                    {1600}},
+        RemovalCase{"no_heartbeat_seen", {{"b", ""}}, false, {std::nullopt}},
+        RemovalCase{"unreadable", {{"a", "bad"}}, false, {}},
+        RemovalCase{"missing_from_the_table", {{"b", "r2"}}, true, {}},
+        RemovalCase{"not_listed", {{"c", ""}}, false, {}}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::entry
--- a/Tests/Platform/odd_entry_test.cc
+++ b/Tests/Platform/odd_entry_test.cc
@@ -108,8 +108,8 @@
   list = {{"a", good}, {"b", odd}, {"c", good}};
   const entry::TableFollower follower(
       loop_, store_, {platform::Table::kFleet, 0, 1},
-      [this](const std::vector<dispatch::StateRow>& rows, bool whole) {
-        std::ignore = fleet_.Apply(rows, whole);
+      [this](const entry::RowBatch& batch) {
+        std::ignore = fleet_.Apply(batch, core::SuspendAwareNow());
       });
   EXPECT_TRUE(RunUntilListed({"a", "c"}));
   list.push_back({"d", good});
@@ -178,10 +178,12 @@
 
 // The key of an entry is raw bytes; the log line on the entry shows it.
 TEST_F(FleetListTest, AKeyThatIsNotTextDoesNotEndTheProcess) {
-  EXPECT_TRUE(fleet_.Apply({{"a", EntryWith("born", "7")},
-                            {"\xff\xfe", "odd"},
-                            {"b", EntryWith("born", "7")}},
-                           true));
+  EXPECT_TRUE(fleet_.Apply({{{"a", EntryWith("born", "7")},
+                             {"\xff\xfe", "odd"},
+                             {"b", EntryWith("born", "7")}},
+                            true,
+                            {}},
+                           0));
   EXPECT_EQ(Listed(), (std::vector<std::string>{"a", "b"}));
 }
 
