LibDispatch: Tell a worker that has left from one that is cut off

Its worker drained, was cut off with resets and worked on under its lease; 4.5 s later its listing went and the holder started the task elsewhere.

Cause: WorkerSession::has_left() took an ended connection for a sign that only an exit gives. A cut with resets ends connections too.

Change: the runs of a draining worker count as gone if its listing was deleted so soon after a heartbeat that it cannot have expired, and it does not answer.

The stand-in of the platform now writes heartbeats into the listings.

--- a/Libraries/LibDispatch/dispatch_settings.h
+++ b/Libraries/LibDispatch/dispatch_settings.h
@@ -6,6 +6,10 @@
 
 /// Time limits that the platform's contract sets.
 struct DispatchSettings {
+  /// Interval between two heartbeats of a worker in its listing, which expires
+  /// after kExpiryHeartbeats of them without one; zero if unknown.
+  core::Millis heartbeat_ms = 1500;
+  static constexpr core::Millis kExpiryHeartbeats = 3;
   /// Longest lease that a worker accepts from the term holder.
   core::Millis max_lease_ms = 6000;
   /// A worker ends a member of a gang that has waited this long for the other
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -101,8 +101,17 @@
   if (session == sessions_.end()) {
     return;
   }
+  // Half an interval covers the errors of the clocks.
+  const auto least_expiry_ms =
+      DispatchSettings::kExpiryHeartbeats * settings_.heartbeat_ms -
+      settings_.heartbeat_ms / 2;
+  const auto has_left = max_silence_ms && *max_silence_ms < least_expiry_ms;
+  if (has_left) {
+    session->second.ObserveDeparture();
+  }
   core::Json fields = {{"worker", worker},
                        {"draining", session->second.info().draining},
+                       {"left", has_left},
                        {"runs", session->second.runs().size()}};
   if (max_silence_ms) {
     fields["max_silence_ms"] = *max_silence_ms;
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -37,6 +37,7 @@
     -> std::vector<EndedRun> {
   std::vector<EndedRun> lost;
   listed_ = true;
+  has_departed_ = false;
   if (info.incarnation == info_.incarnation) {
     unlisted_incarnation_until_.reset();
     info_ = info;
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -62,6 +62,9 @@
   [[nodiscard]] auto ObserveReplacement() -> std::vector<EndedRun>;
   /// Sets whether the platform currently lists the worker.
   auto SetListed(bool listed) -> void { listed_ = listed; }
+  /// Records that the platform deleted the worker's listing too soon after a
+  /// heartbeat for it to have expired: the worker has left.
+  auto ObserveDeparture() -> void { has_departed_ = true; }
 
   /// Adds a run that a former holder or the current planning pass placed.
   auto AddRun(Run run) -> void;
@@ -128,10 +131,11 @@
   [[nodiscard]] auto may_have_left(core::Millis now) const -> bool {
     return !listed_ && !is_answering() && leaves_at_ && now >= *leaves_at_;
   }
-  /// @return whether it has also ended a poll's connection about then, which a
-  ///     worker that is cut off does not.
+  /// @return whether it has also been seen to leave. A worker that is cut off
+  ///     runs on until its leases have expired, and a cut may reset its
+  ///     connections as an exit does.
   [[nodiscard]] auto has_left(core::Millis now) const -> bool {
-    return may_have_left(now) && ended_connection_at_;
+    return may_have_left(now) && has_departed_;
   }
   /// Removes a run that is known to be gone.
   [[nodiscard]] auto DropRun(const TaskId& task) -> EndedRun {
@@ -238,6 +242,8 @@
   DispatchSettings settings_;
   std::shared_ptr<const FormerLeaseBound> former_leases_;
   bool listed_ = true;
+  /// Its listing did not expire, but was deleted as it left.
+  bool has_departed_ = false;
   /// Another worker has its address.
   bool replaced_ = false;
   /// The incarnation is known from the worker's own answer. A listing that
@@ -271,9 +277,6 @@
   core::Millis next_poll_at_ = 0;
   int unanswered_polls_ = 0;
   std::optional<CallEnd> poll_failure_;
-  /// When it ended the connection of a poll, about when it was to leave;
-  /// nothing if it has answered a poll that was sent later.
-  std::optional<core::Millis> ended_connection_at_;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -14,10 +14,6 @@
 /// are not stored yet.
 constexpr core::Millis kUnstoredPauseMs = 500;
 
-/// The time at which a worker leaves is known from its listing, which may be as
-/// old as a heartbeat of it and the pause between two reads.
-constexpr core::Millis kLeaveTimeErrorMs = 2000;
-
 }  // namespace
 
 auto WorkerSession::OnPoll(const PollCall& call,
@@ -31,10 +27,6 @@
       result.report->incarnation != info_.incarnation) {
     ++unanswered_polls_;
     poll_failure_ = result.end;
-    if (result.connection_ended && leaves_at_ &&
-        now >= *leaves_at_ - kLeaveTimeErrorMs) {
-      ended_connection_at_ = now;
-    }
     next_poll_at_ = now + kRepeatMs;
     return gone;
   }
@@ -43,9 +35,6 @@
   has_answered_ = true;
   unanswered_polls_ = 0;
   poll_failure_.reset();
-  if (ended_connection_at_ && sent_at > *ended_connection_at_) {
-    ended_connection_at_.reset();
-  }
   acknowledged_end_ = std::max(acknowledged_end_, call.acknowledged);
   ApplyReportedEnds(*result.report, gone);
   ApplyReportedRuns(*result.report, sent_at, now, gone);
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -50,6 +50,9 @@
   /// the worker is listed no more.
   static constexpr core::Millis kListingMs = 300;
   static constexpr core::Millis kUnlistedAfterMs = 4500;
+  /// Bound on the time from the last heartbeat of a worker that leaves to the
+  /// deletion of its listing, as far as the holder can tell.
+  static constexpr core::Millis kDepartureMs = 2300;
 
   explicit DispatchSimulation(std::uint32_t seed = 1)
       : random_(seed), dispatcher_(std::make_unique<Dispatcher>(Settings())) {
@@ -280,8 +283,11 @@
   std::map<std::string, WorkerInfo> stale_listings;
   /// Crashed workers whose addresses other workers have.
   std::set<std::string> replaced;
-  /// Unreachable workers that ended their connections when they became so.
-  std::set<std::string> exited;
+  /// Unreachable workers that ended their connections when they became so, as
+  /// they exited or were cut off with resets.
+  std::set<std::string> reset;
+  /// Workers that left: their listings do not expire, but are deleted.
+  std::set<std::string> departed;
   /// Workers that do not answer the newest holder.
   std::set<std::string> unreachable_for_newest;
   std::map<std::string, std::string> stored_rows;
@@ -546,10 +552,24 @@
                                                        : stale->second);
       }
     }
-    dispatcher_->SetFleet(listed, Now());
+    std::set<std::string> ids;
+    for (const auto& info : listed) {
+      ids.insert(info.id);
+    }
+    const auto set_fleet = [&](Dispatcher& dispatcher) {
+      for (const auto& id : listed_ids_) {
+        if (!ids.contains(id)) {
+          dispatcher.ObserveListingRemoval(
+              id, departed.contains(id) ? kDepartureMs : kUnlistedAfterMs);
+        }
+      }
+      dispatcher.SetFleet(listed, Now());
+    };
+    set_fleet(*dispatcher_);
     for (auto& holder : former_holders_) {
-      holder.dispatcher->SetFleet(listed, Now());
+      set_fleet(*holder.dispatcher);
     }
+    listed_ids_ = std::move(ids);
   }
 
   auto StoreBatch() -> void {
@@ -654,7 +674,7 @@
                  int generation,
                  std::int64_t arrived_at_incarnation) -> void {
     auto& worker = workers.at(call.worker);
-    if (exited.contains(call.worker)) {
+    if (reset.contains(call.worker)) {
       CallResult closed;
       closed.connection_ended = true;
       HandleResult(call, closed, generation);
@@ -769,6 +789,8 @@
   /// Workers that have crashed and are not back yet.
   std::set<std::string> down_;
   std::vector<FormerHolder> former_holders_;
+  /// The workers of the newest listing.
+  std::set<std::string> listed_ids_;
   /// When the newest value of a row was stored, by key.
   std::map<std::string, core::Millis> stored_at_;
   std::vector<ScheduledAction> scheduled_;
--- a/Tests/LibDispatch/worker_session_test.cc
+++ b/Tests/LibDispatch/worker_session_test.cc
@@ -75,6 +75,21 @@
   EXPECT_EQ(session.OnPoll(immediate, Report({"other"}), 320, 330).size(), 1U);
 }
 
+// Guards against two runs of one task at once: a worker that is listed again
+// has not left, so its next silence shows nothing.
+TEST(WorkerSession, AWorkerThatIsListedAgainHasNotLeft) {
+  auto info = MakeWorker();
+  info.draining = true;
+  WorkerSession session(info, DispatchSettings{}, NoFormerLeases());
+  std::ignore = session.UpdateInfo(info, 0);
+  session.ObserveDeparture();
+  session.SetListed(false);
+  EXPECT_TRUE(session.has_left(10));
+  std::ignore = session.UpdateInfo(info, 20);
+  session.SetListed(false);
+  EXPECT_FALSE(session.has_left(30));
+}
+
 // Guards against capacity that is given up: a worker that did not answer, and
 // whose runs were gone before it could be reached again, was never polled again
 // and got no work for the rest of the term (random history 705748).
--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -336,9 +336,37 @@
         NodeCase{"BadShare", "checkpoint_s = 2",
                  "checkpoint_s = 2\n[limits]\ncpu_share = -1",
                  "limits.cpu_share", "line 20"},
+        NodeCase{"NegativeHeartbeat", "ip = \"127.0.0.1\"",
+                 "ip = \"127.0.0.1\"\nheartbeat_ms = -1", "heartbeat_ms",
+                 "line 5"},
         NodeCase{"NotToml", "[bounds]", "[bounds", "", "line 12"}),
     [](const auto& info) { return info.param.name; });
 
+struct HeartbeatCase {
+  const char* name;
+  const char* line;
+  core::Millis heartbeat_ms;
+};
+
+class NodeHeartbeat : public testing::TestWithParam<HeartbeatCase> {};
+
+// A default would let workers that are cut off count as having left wherever
+// heartbeats are less frequent.
+TEST_P(NodeHeartbeat, IsUnknownUnlessTheFileTellsIt) {
+  core::Reason reason;
+  const auto settings =
+      ReadNodeText(std::string(GetParam().line) + kNodeText, reason);
+  ASSERT_TRUE(settings) << reason.message;
+  EXPECT_EQ(settings->dispatch.heartbeat_ms, GetParam().heartbeat_ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines,
+    NodeHeartbeat,
+    testing::Values(HeartbeatCase{"given", "heartbeat_ms = 1200\n", 1200},
+                    HeartbeatCase{"missing", "", 0}),
+    [](const auto& info) { return info.param.name; });
+
 struct CapacityCase {
   const char* name;
   const char* limits;
--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -364,7 +364,8 @@
         self.lapsed_ends = 0  # ends up to this number are older than a lapse of the lease
         self.ended = asyncio.Event()
         self.entry = b""
-        self.heard_at = self.born_at
+        self.entry_count = 0
+        self.entered_at = self.heard_at = self.born_at
 
     def clock_ms(self) -> int:
         return self.clock_start + int((time.monotonic() - self.born_at) * 1000 * self.clock_rate)
@@ -372,13 +373,12 @@
     def listing(self) -> bytes:
         entry: dict[str, Any] = {
             "service": "runners", "address": self.address, "zone": "zone-a", "version": 1,
-            "slots": 8, "cold_left_ms": 0, "seq_no": 1, "born": self.born, "state": "ready",
+            "slots": 8, "cold_left_ms": 0, "seq_no": self.entry_count, "born": self.born, "state": "ready",
             "capacity": {"cpu": self.capacity, "mem_mb": 8192, "gpu": 0},
             "labels": ["plain", self.rack],
         }  # fmt: skip
         if self.leaves_at is not None:
             entry["state"] = "draining"
-            # A heartbeat each second writes it anew.
             entry["remaining_ms"] = 1000 * int(max(0, self.leaves_at - time.monotonic()))
         return json.dumps(entry).encode()
 
@@ -587,7 +587,7 @@
         seeds = [f"{self.platform.network}.{n}:{LISTEN_PORTS['control']}" for n in (1, 2, 3)]
         top = {
             "node_name": self.name, "zone": "zone-a", "region": "region-a", "ip": self.ip,
-            "seeds": seeds, **changes,
+            "seeds": seeds, "heartbeat_ms": int(HEARTBEAT_S * 1000), **changes,
         }  # fmt: skip
         bounds = {
             "grace_s": 6, "max_hold_ms": self.platform.max_hold_ms, "reclaim_ms": 2700,
@@ -769,9 +769,12 @@
             may_write = worker.alive and not worker.cut and worker.reaches_store
             if may_write and not self.store.down:
                 worker.heard_at = now
-                if worker.entry != (entry := worker.listing()):
-                    worker.entry = entry
-                    fleet.put(worker.name, entry)
+                # A heartbeat writes the entry anew, and so does each change.
+                if worker.entry != worker.listing() or now - worker.entered_at >= HEARTBEAT_S:
+                    worker.entered_at = now
+                    worker.entry_count += 1
+                    worker.entry = worker.listing()
+                    fleet.put(worker.name, worker.entry)
             elif worker.entry and now - worker.heard_at > EXPIRES_AFTER_S:
                 self.unlist(worker)
 
