LibDispatch: Count a job as begun when a worker has shown it

Cause: Dispatcher::Place() set the phase as soon as a task was placed, before its start was sent, and JobTable::LoadTask() did the same after a takeover for any task with an attempt. Nothing set it back.

The simulation now checks at each step that no job is shown as running of which no run has begun.

Change: a job has begun once a worker took a start, listed a run or reported the end of one. This one fact gives the phase, the number of pending jobs and what an end is shown as that is not stored yet. It is stored in the row of the task that showed it, once for each job, so that it outlives the holder. A holder of the former version ignores the new element of the row.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -173,7 +173,7 @@
                                              {"account", job.spec.account},
                                              {"steps", job.spec.steps.size()},
                                              {"batch", job.batch}});
-  return {job.phase, job.batch};
+  return ViewOf(job);
 }
 
 auto Dispatcher::FindJob(const std::string& id) const
@@ -182,7 +182,7 @@
   if (job == nullptr) {
     return std::nullopt;
   }
-  return JobView{job->phase, job->batch};
+  return ViewOf(*job);
 }
 
 auto Dispatcher::AccountOf(const std::string& id) const -> std::string {
@@ -199,7 +199,7 @@
   if (!IsEnded(job->phase)) {
     EndJob(*job, JobPhase::kCancelled, now);
   }
-  return JobView{job->phase, job->batch};
+  return ViewOf(*job);
 }
 
 auto Dispatcher::Withdraw(const std::string& id, ClockReading now) -> bool {
@@ -281,7 +281,9 @@
         health_.RecordRefusal(call.worker, now.steady);
       }
     }
-    if (const auto ended = session.OnStart(*start, result, now.steady)) {
+    const auto ended = session.OnStart(*start, result, now.steady);
+    RecordBegunTasks(session);
+    if (ended) {
       ApplyRunEnd(call.worker, *ended, now);
     }
   } else if (const auto* stop = std::get_if<StopCall>(&call.command)) {
@@ -296,6 +298,7 @@
         is_reborn
             ? session.ObserveRebirth(result.report->incarnation, now.steady)
             : session.OnPoll(*poll, result, call.sent_at, now.steady);
+    RecordBegunTasks(session);
     if (is_reborn && !was_draining) {
       RecordWorkerCrash(call.worker, gone, now);
     }
@@ -329,6 +332,12 @@
   next_plan_at_ = std::min(next_plan_at_, now.steady);
 }
 
+auto Dispatcher::RecordBegunTasks(WorkerSession& session) -> void {
+  for (const auto& task : session.TakeBegunTasks()) {
+    job_table_.RecordBegun(task);
+  }
+}
+
 auto Dispatcher::IsReplaced(const WorkerSession& session) const -> bool {
   if (session.is_idle() || session.is_replaced() || !session.poll_failure()) {
     return false;
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -40,6 +40,8 @@
 /// State of a job as reported to its caller.
 struct JobView {
   JobPhase phase = JobPhase::kQueued;
+  /// A run of one of its tasks has begun.
+  bool has_begun = false;
   /// The view may be reported once this batch is stored.
   std::uint64_t batch = 0;
 };
@@ -168,6 +170,10 @@
   /// Stops the remaining members of a gang that a former holder was stopping.
   auto StopBrokenGang(Job& job, Step& step) -> void;
   auto BatchOfNewestRows() const -> std::uint64_t;
+  static auto ViewOf(const Job& job) -> JobView {
+    return {job.phase, job.has_begun, job.batch};
+  }
+  auto RecordBegunTasks(WorkerSession& session) -> void;
   auto ApplyRunEnd(const std::string& worker,
                    const EndedRun& ended,
                    ClockReading now) -> void;
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -393,7 +393,6 @@
                   {"tier", static_cast<int>(pending.rank.tier)},
                   {"spare_ms", pending.rank.slack_ms},
                   {"age_ms", now.wall - job.spec.accepted_at}});
-  job.phase = JobPhase::kRunning;
   evicting_until_.erase(job.IdOf(step, 0));
   pending.tasks.erase(
       pending.tasks.begin(),
--- a/Libraries/LibDispatch/job.h
+++ b/Libraries/LibDispatch/job.h
@@ -37,6 +37,9 @@
   std::int64_t incarnation = 0;
   /// Newest checkpoint; empty for none.
   std::string checkpoint;
+  /// A run of it has begun. Set only for the task whose run was the first of
+  /// the job's to be known.
+  bool has_begun = false;
   /// The task has a durable row.
   bool stored = false;
   /// Workers on which a run of the task failed or hung.
@@ -91,6 +94,9 @@
 struct Job {
   JobSpec spec;
   JobPhase phase = JobPhase::kQueued;
+  /// A worker has shown that a run of one of its tasks began. A task that is
+  /// placed may never begin: its start may be refused or lost.
+  bool has_begun = false;
   core::Millis ended_at = 0;
   /// Ordered by occurrence, then by step.
   std::vector<Step> steps;
@@ -108,6 +114,12 @@
     has_only_candidate |= evidence.as_only_candidate > 0;
   }
 
+  /// Records that a run has begun.
+  auto NoteBegun() -> void {
+    has_begun = true;
+    phase = phase == JobPhase::kQueued ? JobPhase::kRunning : phase;
+  }
+
   /// @return the step of a task, or null if the job has no such step.
   [[nodiscard]] auto FindStep(const TaskId& id) -> Step*;
   [[nodiscard]] auto FindTask(const TaskId& id) -> Task*;
--- a/Libraries/LibDispatch/job_phase.h
+++ b/Libraries/LibDispatch/job_phase.h
@@ -8,9 +8,9 @@
 namespace kcm::dispatch {
 
 enum class JobPhase : std::uint8_t {
-  /// No task was ever placed.
+  /// No run of a task is known to have begun.
   kQueued,
-  /// A task was placed at least once; it may be waiting again.
+  /// A run has begun at some time; all tasks may be waiting again.
   kRunning,
   kCompleted,
   kFailed,
--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -19,6 +19,8 @@
 /// Index of the crash evidence in the row of a task, which a task without any
 /// lacks.
 constexpr std::size_t kEvidenceElement = 7;
+/// Index of the mark of a task that has begun, which other tasks lack.
+constexpr std::size_t kBegunElement = 8;
 
 auto ToText(const Json& document) -> std::string {
   const auto bytes = Json::to_msgpack(document);
@@ -78,11 +80,15 @@
   auto document = Json::array({static_cast<int>(task.phase), task.attempt,
                                task.failures, task.failed_attempt, task.worker,
                                task.incarnation, task.checkpoint});
-  if (const auto& evidence = task.crash_evidence; evidence.crashes > 0) {
+  const auto& evidence = task.crash_evidence;
+  if (evidence.crashes > 0 || task.has_begun) {
     document.push_back(
         Json::array({evidence.crashes, evidence.as_candidate,
                      evidence.as_only_candidate, evidence.attempt}));
   }
+  if (task.has_begun) {
+    document.push_back(true);
+  }
   return {TaskKey(id), ToText(document)};
 }
 
@@ -118,8 +124,9 @@
   const auto evidence = row.size() > kEvidenceElement
                             ? DecodeEvidence(row[kEvidenceElement])
                             : CrashEvidence{};
+  const auto has_begun = row.size() > kBegunElement;
   if (!phase || !attempt || !failures || !failed_attempt || !incarnation ||
-      !evidence) {
+      !evidence || (has_begun && !row[kBegunElement].is_boolean())) {
     return false;
   }
   task.phase = static_cast<TaskPhase>(*phase);
@@ -130,6 +137,7 @@
   task.incarnation = *incarnation;
   task.checkpoint = row[6];
   task.crash_evidence = *evidence;
+  task.has_begun = has_begun && row[kBegunElement].get<bool>();
   task.stored = true;
   return true;
 }
@@ -214,8 +222,10 @@
   job->NoteEvidence(task->crash_evidence);
   auto* step = job->FindStep(*id);
   step->done += task->phase == TaskPhase::kDone ? 1 : 0;
-  if (task->attempt > 0 && job->phase == JobPhase::kQueued) {
-    job->phase = JobPhase::kRunning;
+  // Only a run that began can be done, fail or save a checkpoint.
+  if (task->has_begun || task->phase == TaskPhase::kDone ||
+      task->failures > 0 || !task->checkpoint.empty()) {
+    job->NoteBegun();
   }
   return true;
 }
@@ -247,6 +257,17 @@
   rows_.push_back(RowOfTask(id, *task));
 }
 
+auto JobTable::RecordBegun(const TaskId& id) -> void {
+  auto* job = FindJob(id.job);
+  auto* task = job == nullptr ? nullptr : job->FindTask(id);
+  if (task == nullptr || job->has_begun || IsEnded(job->phase)) {
+    return;
+  }
+  job->NoteBegun();
+  task->has_begun = true;
+  StoreTask(*job, *job->FindStep(id), static_cast<std::size_t>(id.index));
+}
+
 auto JobTable::EndJob(Job& job, JobPhase phase, core::Millis now) -> void {
   job.phase = phase;
   job.ended_at = now;
--- a/Libraries/LibDispatch/job_table.h
+++ b/Libraries/LibDispatch/job_table.h
@@ -37,6 +37,10 @@
   /// Writes the current row of one task, to be returned by TakeRows().
   auto StoreTask(Job& job, const Step& step, std::size_t index) -> void;
 
+  /// Records that a run of a task has begun, and stores that for the first one
+  /// of a job.
+  auto RecordBegun(const TaskId& id) -> void;
+
   /// Ends a job: writes its final row and deletes the rows of its tasks.
   /// @param now since the Unix epoch.
   auto EndJob(Job& job, JobPhase phase, core::Millis now) -> void;
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -374,6 +374,9 @@
   if (result.clock_ms) {
     clock_.Observe(*result.clock_ms, now);
   }
+  if (result.end == CallEnd::kDone) {
+    begun_tasks_.push_back(call.task);
+  }
   const auto found = runs_.find(call.task);
   if (found == runs_.end() || found->second.attempt != call.attempt) {
     return std::nullopt;
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -100,6 +100,12 @@
                             core::Millis sent_at,
                             core::Millis now) -> std::vector<EndedRun>;
 
+  /// @return the tasks of which a worker has shown since the last call that a
+  ///     run has begun.
+  [[nodiscard]] auto TakeBegunTasks() -> std::vector<TaskId> {
+    return std::exchange(begun_tasks_, {});
+  }
+
   /// Lets all ends reported so far be acknowledged once this batch is stored.
   auto AcknowledgeEndsAfter(std::uint64_t batch) -> void;
 
@@ -264,6 +270,7 @@
   bool grants_paused_ = false;
   std::map<TaskId, Run> runs_;
   std::map<OrphanRunKey, OrphanRun> orphan_runs_;
+  std::vector<TaskId> begun_tasks_;
   Resources used_;
   /// Newest end that was reported, and the newest that is stored.
   std::int64_t reported_end_ = 0;
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -53,6 +53,7 @@
       continue;
     }
     reported_end_ = end.number;
+    begun_tasks_.push_back(end.task);
     orphan_runs_.erase({end.task, end.attempt});
     const auto found = runs_.find(end.task);
     EndedRun ended;
@@ -100,14 +101,18 @@
             return end.task == row.task && end.attempt == row.attempt;
           });
       if (!was_ended) {
-        orphan_runs_.try_emplace({row.task, row.attempt});
+        if (orphan_runs_.try_emplace({row.task, row.attempt}).second) {
+          begun_tasks_.push_back(row.task);
+        }
         listed_orphans.emplace(row.task, row.attempt);
       }
       continue;
     }
     listed[row.task] = &row;
     auto& run = found->second;
-    run.listed = true;
+    if (!std::exchange(run.listed, true)) {
+      begun_tasks_.push_back(row.task);
+    }
     if (run.phase == RunPhase::kAdopted || run.phase == RunPhase::kStarting) {
       run.adopted = run.phase == RunPhase::kAdopted;
       run.phase = RunPhase::kRunning;
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -541,9 +541,14 @@
   const auto view = dispatcher_.FindJob(request.job);
   const auto is_unstored_end = dispatch::IsEnded(view->phase) &&
                                view->batch > dispatcher_.stored_batch();
+  if (!is_unstored_end) {
+    return {ErrorKind::kNone, view->phase, false};
+  }
   // The end is lost if this holder fails now, so it is not reported yet.
   return {ErrorKind::kNone,
-          is_unstored_end ? dispatch::JobPhase::kRunning : view->phase, false};
+          view->has_begun ? dispatch::JobPhase::kRunning
+                          : dispatch::JobPhase::kQueued,
+          false};
 }
 
 auto TermHolder::AnswerOnceProven(const HolderRequest& request,
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -384,6 +384,7 @@
     AdvanceFormerHolders();
     CheckLeaseRows();
     if (!is_vacant) {
+      CheckBegunJobs();
       StoreBatch();
       StoreTermRow();
     }
@@ -446,6 +447,17 @@
     }
   }
 
+  /// Checks that no job is shown as running, and left out of the number of
+  /// pending ones, of which no run has begun.
+  auto CheckBegunJobs() -> void {
+    for (const auto& [id, job] : dispatcher_->job_table().live_jobs()) {
+      if (job->phase == JobPhase::kRunning && !invariants.HasBegun(id)) {
+        invariants.violations.push_back("job " + id + " has not begun at " +
+                                        std::to_string(now));
+      }
+    }
+  }
+
   /// Checks that the holder grants no lease while it has a stored lease row.
   auto CheckGrant(const WorkerCall& call) -> void {
     const auto* poll = std::get_if<PollCall>(&call.command);
--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -106,6 +106,10 @@
       return false;
     }
     fence_ = fence;
+    if (refuses_starts_) {
+      result.end = CallEnd::kUnhealthy;
+      return false;
+    }
     const auto known = runs_.find(call.task);
     if (known != runs_.end() && known->second.attempt == call.attempt) {
       result.end = CallEnd::kDone;
@@ -237,6 +241,8 @@
   /// Fails all that it starts before any work is done.
   auto set_fails_at_once(bool fails) -> void { fails_at_once_ = fails; }
   auto set_fails(bool fails) -> void { fails_ = fails; }
+  /// Refuses all starts and does nothing for them.
+  auto set_refuses_starts(bool refuses) -> void { refuses_starts_ = refuses; }
   auto Hang(const TaskId& task) -> void { runs_.at(task).hangs = true; }
 
   [[nodiscard]] auto Free() const -> Resources {
@@ -300,6 +306,7 @@
   core::Millis stop_grace_ms_ = 0;
   bool fails_ = false;
   bool fails_at_once_ = false;
+  bool refuses_starts_ = false;
   bool up_ = true;
 };
 
--- a/Tests/LibDispatch/invariant_check.h
+++ b/Tests/LibDispatch/invariant_check.h
@@ -81,6 +81,12 @@
     }
   }
 
+  /// @return whether a worker has begun a run of a task of the job.
+  [[nodiscard]] auto HasBegun(const std::string& job) const -> bool {
+    const auto first = starts.lower_bound(TaskId{job, 0, 0, 0});
+    return first != starts.end() && first->first.job == job;
+  }
+
   /// Fails: not every worker rejects a start that exceeds its capacity.
   auto OnNoCapacity(const TaskId& task, core::Millis now) -> void {
     Require(false, "over the capacity", task, now);
--- a/Tests/LibDispatch/odd_row_test.cc
+++ b/Tests/LibDispatch/odd_row_test.cc
@@ -139,6 +139,8 @@
         RowCase{"task_short", "t/a.0.1.1", ToBytes({2, 3, 1})},
         RowCase{"task_last_member_number", "t/a.0.1.1",
                 ToBytes({2, 3, 1, 1, "w", 5, 6})},
+        RowCase{"begun_number", "t/a.0.1.1",
+                ToBytes({2, 3, 1, 1, "w", 5, "c", {0, 0, 0, 0}, 1})},
         RowCase{"phase_unknown", "t/a.0.1.1",
                 ToBytes({3, 3, 1, 1, "w", 5, "c"})},
         RowCase{"phase_258", "t/a.0.1.1", ToBytes({258, 3, 1, 1, "w", 5, "c"})},
--- a/Tests/LibEntry/term_holder_test.cc
+++ b/Tests/LibEntry/term_holder_test.cc
@@ -165,6 +165,19 @@
   EXPECT_TRUE(answers_[1]->not_holder);
 }
 
+// Guards against jobs that are shown as running and have not begun: an end that
+// is not stored yet was shown as running whatever had been before.
+TEST_F(TermHolderTest, AnUnstoredEndOfAJobThatHasNotBegunIsShownAsQueued) {
+  SendRequest(JobVerb::kSubmit, "a");
+  RunUntil([&] { return answers_[0].has_value(); });
+  store_.refuse = true;
+  SendRequest(JobVerb::kCancel, "a");
+  RunFor(10);
+  SendRequest(JobVerb::kRead, "a");
+  RunUntil([&] { return answers_[2].has_value(); });
+  EXPECT_EQ(answers_[2]->phase, dispatch::JobPhase::kQueued);
+}
+
 // Readers are not to be held back by an outage of the store that is known.
 TEST_F(TermHolderTest, ReadsOfKnownJobsAreAnsweredWhileTheStoreIsAway) {
   SendRequest(JobVerb::kSubmit, "a");
