LibDispatch: Store that a job has begun with the next other rows

Each job caused an append of its own, and appends go one at a time.

A holder that fails before that leaves it to its successor's first polls.

JobBegunRow guards it.

--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -216,8 +216,9 @@
   return true;
 }
 
-auto Dispatcher::TakeBatch() -> std::optional<Batch> {
-  if (!job_table_.has_rows() && lease_rows_.empty()) {
+auto Dispatcher::TakeBatch(bool with_deferred) -> std::optional<Batch> {
+  if (!job_table_.has_rows() && lease_rows_.empty() &&
+      !(with_deferred && job_table_.has_deferred_rows())) {
     return std::nullopt;
   }
   auto rows = std::exchange(lease_rows_, {});
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -102,8 +102,10 @@
     return job_table_.PendingByQueue();
   }
 
+  /// @param with_deferred whether to return rows that can wait for others even
+  ///     if there are no others.
   /// @return rows to store, or nothing; only one batch may be in flight.
-  [[nodiscard]] auto TakeBatch() -> std::optional<Batch>;
+  [[nodiscard]] auto TakeBatch(bool with_deferred) -> std::optional<Batch>;
   auto MarkStored(std::uint64_t batch) -> void {
     stored_ = batch;
     call_schedule_.OnStored();
--- a/Libraries/LibDispatch/job_table.cc
+++ b/Libraries/LibDispatch/job_table.cc
@@ -265,7 +265,7 @@
   }
   job->NoteBegun();
   task->has_begun = true;
-  StoreTask(*job, *job->FindStep(id), static_cast<std::size_t>(id.index));
+  unstored_begun_tasks_.push_back(id);
 }
 
 auto JobTable::EndJob(Job& job, JobPhase phase, core::Millis now) -> void {
@@ -316,6 +316,12 @@
 }
 
 auto JobTable::TakeRows() -> std::vector<StateRow> {
+  for (const auto& id : std::exchange(unstored_begun_tasks_, {})) {
+    auto* job = FindJob(id.job);
+    if (job != nullptr && !IsEnded(job->phase)) {
+      StoreTask(*job, *job->FindStep(id), static_cast<std::size_t>(id.index));
+    }
+  }
   return std::exchange(rows_, {});
 }
 
--- a/Libraries/LibDispatch/job_table.h
+++ b/Libraries/LibDispatch/job_table.h
@@ -37,8 +37,9 @@
   /// Writes the current row of one task, to be returned by TakeRows().
   auto StoreTask(Job& job, const Step& step, std::size_t index) -> void;
 
-  /// Records that a run of a task has begun, and stores that for the first one
-  /// of a job.
+  /// Records that a run of a task has begun. For the first one of a job a row
+  /// is written with the next other rows: an append of its own would delay
+  /// those.
   auto RecordBegun(const TaskId& id) -> void;
 
   /// Ends a job: writes its final row and deletes the rows of its tasks.
@@ -73,6 +74,10 @@
   [[nodiscard]] auto TakeRows() -> std::vector<StateRow>;
 
   [[nodiscard]] auto has_rows() const -> bool { return !rows_.empty(); }
+  /// @return whether there are rows that can wait for others.
+  [[nodiscard]] auto has_deferred_rows() const -> bool {
+    return !unstored_begun_tasks_.empty();
+  }
 
  private:
   auto LoadJob(const StateRow& row, core::Reason& reason) -> bool;
@@ -82,6 +87,8 @@
   /// Ended jobs, which are kept for minutes, far outnumber the others.
   std::map<std::string, Job*> live_jobs_;
   std::vector<StateRow> rows_;
+  /// Tasks that have begun, of which no row says so yet.
+  std::vector<TaskId> unstored_begun_tasks_;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -197,7 +197,7 @@
     return;
   }
   const auto has_term_row = renew_now_ || IsTermRowDue(now);
-  auto batch = dispatcher_.TakeBatch();
+  auto batch = dispatcher_.TakeBatch(has_term_row);
   if (!batch && !has_term_row) {
     return;
   }
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -594,7 +594,7 @@
     if (storing_ || !store_up) {
       return;
     }
-    auto batch = dispatcher_->TakeBatch();
+    auto batch = dispatcher_->TakeBatch(now - term_row_at_ >= kTermRenewalMs);
     if (!batch) {
       return;
     }
--- a/Tests/LibDispatch/dispatcher_cost_test.cc
+++ b/Tests/LibDispatch/dispatcher_cost_test.cc
@@ -106,7 +106,7 @@
     if (storing_) {
       return;
     }
-    if (const auto batch = dispatcher.TakeBatch()) {
+    if (const auto batch = dispatcher.TakeBatch(false)) {
       storing_ = true;
       scheduled_.emplace(now + kStoreMs, [this, number = batch->number] {
         storing_ = false;
--- a/Tests/LibDispatch/job_begun_test.cc
+++ b/Tests/LibDispatch/job_begun_test.cc
@@ -111,5 +111,32 @@
                   JobPhase::kRunning}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against appends for the mark alone, which delayed those of other jobs
+// and made a quiet day worth less.
+TEST(JobBegunRow, WaitsForOtherRows) {
+  JobTable table;
+  JobSpec spec;
+  spec.id = "job";
+  spec.steps = {DispatchSimulation::Step(2, 1, 1000)};
+  auto& job = table.AddJob(spec);
+  std::ignore = table.TakeRows();
+  table.RecordBegun({"job", 0, 0, 1});
+  EXPECT_FALSE(table.has_rows());
+  EXPECT_TRUE(table.has_deferred_rows());
+  table.StoreTask(job, job.steps[0], 0);
+  const auto rows = table.TakeRows();
+  ASSERT_EQ(rows.size(), 2U);
+  EXPECT_FALSE(table.has_deferred_rows());
+  JobTable next;
+  const auto spec_row = [&] {
+    JobTable other;
+    other.AddJob(spec);
+    return other.TakeRows()[0];
+  }();
+  next.Load({spec_row, rows[0], rows[1]},
+            [](const std::string&, const core::Reason&) { FAIL(); });
+  EXPECT_TRUE(next.FindJob("job")->has_begun);
+}
+
 }  // namespace
 }  // namespace kcm::dispatch
