LibDispatch: Give a gang up as a whole again

Takes back, which awaited a gang's member at a silent worker that had announced that it leaves, unless all others had ended as broken.

--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -252,8 +252,9 @@
   auto WatchSessions(ClockReading now) -> void;
   auto StopHungRuns(ClockReading now) -> void;
   /// Drops runs on a worker that has left as announced, whose leases need not
-  /// be awaited: all if its listing was deleted as it left, and else those
-  /// that have ended first of their gang.
+  /// be awaited: all if its listing was deleted as it left, and else the
+  /// members of gangs of which others have ended as broken, since a gang ends
+  /// as a whole.
   [[nodiscard]] auto TakeRunsOfLeftWorker(WorkerSession& session,
                                           ClockReading now)
       -> std::vector<EndedRun>;
--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -54,7 +54,7 @@
   const auto& spec = job->SpecOf(step);
   ClearEvidence(*job, step, ended, now);
   if (ended.how == RunEnd::kGangBroken) {
-    step.NoteBroken(ended.run.attempt, ended.run.task.index);
+    step.broken_attempt = std::max(step.broken_attempt, ended.run.attempt);
   }
   const auto is_newest =
       task->phase == TaskPhase::kPlaced && task->attempt == ended.run.attempt;
--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -70,7 +70,7 @@
     auto* job = job_table_.FindJob(task.job);
     const auto* step = job == nullptr ? nullptr : job->FindStep(task);
     const auto is_broken =
-        step != nullptr && step->OnlyOtherMembersBroke(run.attempt);
+        step != nullptr && run.attempt <= step->broken_attempt;
     // A start without an answer may reach a later life of the worker.
     if ((is_broken || session.has_left(now.steady)) && !run.start_unanswered) {
       gone.push_back(task);
--- a/Libraries/LibDispatch/job.h
+++ b/Libraries/LibDispatch/job.h
@@ -67,27 +67,8 @@
   std::vector<Task> tasks;
   /// Number of tasks that are done.
   std::int64_t done = 0;
-  /// Newest attempt of a gang of which members ended since another one had, and
-  /// the indexes of these members.
+  /// Newest attempt of a gang of which a member ended since another one had.
   std::int64_t broken_attempt = 0;
-  std::set<std::int64_t> broken_members;
-
-  /// Records that a member of a gang ended since another one had.
-  auto NoteBroken(std::int64_t attempt, std::int64_t index) -> void {
-    if (attempt > broken_attempt) {
-      broken_attempt = attempt;
-      broken_members.clear();
-    }
-    if (attempt == broken_attempt) {
-      broken_members.insert(index);
-    }
-  }
-  /// @return whether all members but one of this attempt ended since another
-  ///     one had, which is therefore the one of which no end was reported.
-  [[nodiscard]] auto OnlyOtherMembersBroke(std::int64_t attempt) const -> bool {
-    return attempt == broken_attempt &&
-           broken_members.size() + 1 == tasks.size();
-  }
 };
 
 /// A job and the progress of its tasks.
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -244,12 +244,6 @@
 
   auto dispatcher() -> Dispatcher& { return *dispatcher_; }
 
-  /// Ends the only run of a worker.
-  auto EndRunOf(const std::string& id, RunEnd how) -> void {
-    auto& worker = workers.at(id);
-    worker.End(worker.runs().begin()->first, how);
-  }
-
   /// Ends all runs of a worker, which is back under its id some seconds later.
   /// @param culprit the task that crashed it; nothing if none did.
   auto CrashWorker(const std::string& id,
