--- a/Tests/LibDispatch/departures_test.cc
+++ b/Tests/LibDispatch/departures_test.cc
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <cstdlib>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 #include "dispatch_simulation.h"
