--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import time
@@ -283,6 +284,8 @@
         async with asyncio.timeout(seconds):
             return await play(record)
 
+    # Ends all processes that were started also when the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         if not PROGRAM.exists():
             raise RuntimeError(f"{PROGRAM.name} is not built")
