--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -302,6 +302,6 @@
 
 
 __all__ = [
-    "LASTING_MS", "TROUBLE", "Caller", "Platform", "Record", "Referee", "asyncio", "job", "queue",
+    "KEY", "LASTING_MS", "TENANT", "TROUBLE", "Caller", "Platform", "Record", "Referee", "asyncio", "job", "queue",
     "run_case", "time",
 ]  # fmt: skip
