--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -240,7 +240,8 @@
         sent_at = time.monotonic()
         answer = await self.client.call(method, path, body, timeout=3.0, **headers)
         what = "nothing" if answer is None else f"{answer.status} {answer.body.decode().strip()[:120]}"
-        self.record.write(f"call {method} {path} key {self.key} at {self.vm.name}:"
+        sent = "" if body is None else f" {json.dumps(body)}"
+        self.record.write(f"call {method} {path}{sent} key {self.key} at {self.vm.name}:"
                           f" {what} after {time.monotonic() - sent_at:.3f} s")  # fmt: skip
         return answer
 
