LibEntry, LibDispatch: Log hidden jobs and lists of ends that are cut short

A caller who is answered 410 could not be told from one who names a job that does not exist, and a run that had vanished from its worker's answer not from one whose end had no room in it. `job_hidden` shows whose job a request asked for and for whom; `ends_cut_short` shows an answer without room for all ends.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -64,6 +64,7 @@
     EventInfo{Event::kTaskGivenUp, "task_given_up", Severity::kWarning},
     EventInfo{Event::kWorkerReplaced, "worker_replaced", Severity::kWarning},
     EventInfo{Event::kListingRemoved, "listing_removed", Severity::kInfo},
+    EventInfo{Event::kEndsCutShort, "ends_cut_short", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
@@ -76,6 +77,7 @@
     EventInfo{Event::kCallAnswered, "call_answered", Severity::kInfo},
     EventInfo{Event::kCallRefused, "call_refused", Severity::kInfo},
     EventInfo{Event::kReadyChanged, "ready_changed", Severity::kInfo},
+    EventInfo{Event::kJobHidden, "job_hidden", Severity::kInfo},
 };
 
 /// A longer value is cut, and fields that do not fit are left out.
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -62,6 +62,8 @@
   kTaskGivenUp = 334,
   kWorkerReplaced = 335,
   kListingRemoved = 336,
+  /// A worker's answer had no room for all its ends.
+  kEndsCutShort = 337,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
@@ -77,6 +79,8 @@
   kCallAnswered = 420,
   kCallRefused = 421,
   kReadyChanged = 422,
+  /// The caller of a request may not see the job that it names.
+  kJobHidden = 423,
 };
 
 enum class Severity : std::uint8_t { kInfo, kWarning, kError };
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -319,6 +319,7 @@
         newest = {call.worker, call.sent_at};
       }
       ObserveWitness(call.worker, *result.report, now);
+      RecordCutEnds(*poll, *result.report, session);
     }
     if (session.poll_failure() && session.poll_failure() != former_failure &&
         !session.is_idle()) {
@@ -333,6 +334,19 @@
   next_plan_at_ = std::min(next_plan_at_, now.steady);
 }
 
+auto Dispatcher::RecordCutEnds(const PollCall& poll,
+                               const PollReport& report,
+                               const WorkerSession& session) -> void {
+  if (report.has_all_ends) {
+    return;
+  }
+  RecordDecision(core::Event::kEndsCutShort,
+                 {{"worker", session.info().id},
+                  {"ends", report.ended.size()},
+                  {"acknowledged", poll.acknowledged},
+                  {"runs", session.runs().size()}});
+}
+
 auto Dispatcher::RecordBegunTasks(WorkerSession& session) -> void {
   for (const auto& task : session.TakeBegunTasks()) {
     job_table_.RecordBegun(task);
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -176,6 +176,10 @@
     return {job.phase, job.has_begun, job.batch};
   }
   auto RecordBegunTasks(WorkerSession& session) -> void;
+  /// Logs that a poll's answer had no room for all ends.
+  auto RecordCutEnds(const PollCall& poll,
+                     const PollReport& report,
+                     const WorkerSession& session) -> void;
   auto ApplyRunEnd(const std::string& worker,
                    const EndedRun& ended,
                    ClockReading now) -> void;
--- a/Libraries/LibDispatch/worker_call.h
+++ b/Libraries/LibDispatch/worker_call.h
@@ -103,6 +103,9 @@
   core::Millis clock_ms = 0;
   std::vector<RunReport> running;
   std::vector<EndReport> ended;
+  /// `ended` holds all ends that are not acknowledged. If not, later ones are
+  /// reported once these are acknowledged.
+  bool has_all_ends = true;
 };
 
 /// Result of a call to a worker.
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -535,10 +535,17 @@
 
 auto TermHolder::AnswerFromState(const HolderRequest& request) const
     -> HolderAnswer {
+  const auto view = dispatcher_.FindJob(request.job);
   if (!IsKnown(request)) {
+    if (view) {
+      core::LogEvent(core::Event::kJobHidden,
+                     {{"job", request.job},
+                      {"verb", core::NameOf(request.verb)},
+                      {"job_account", dispatcher_.AccountOf(request.job)},
+                      {"account", request.account}});
+    }
     return {ErrorKind::kGone, {}, false};
   }
-  const auto view = dispatcher_.FindJob(request.job);
   const auto is_unstored_end = dispatch::IsEnded(view->phase) &&
                                view->batch > dispatcher_.stored_batch();
   if (!is_unstored_end) {
