LibEntry: Show a job to callers of its queue and its account only

And a call without a key through any public route read and cancelled the jobs of all queues and accounts: a missing key was worth more than the right one. The second of two callers who chose the same id was told 200 for a job that never existed.

Cause: TermHolder::IsKnown() compared accounts, let a caller without one act as any account, and did not look at the queue at all.

Now a request to the holder carries the queue of its route, the caller's account and whether the queue is public. CheckJobAccess() decides with these for reads, cancels and submissions of a known id, here, for relayed requests and after a takeover. Rows of jobs always held queue and account, so that jobs from before the change are judged the same way. A relayed request that does not name its queue is malformed.

Why it works: PROTOCOL.md ties a key to a call "unless the call's route is `public`", so there the queue alone can decide, and elsewhere both must match. A job without an account has nobody to keep it from.

The tests of malformed relayed requests name queue and account now, so that each is still refused for the reason that it is about.

--- a/Libraries/LibCore/error_kind.h
+++ b/Libraries/LibCore/error_kind.h
@@ -12,7 +12,7 @@
   kBadToken,
   kForbidden,
   kNotFound,
-  /// There is no such job, or it belongs to another client account.
+  /// There is no such job, or the caller may not see it.
   kGone,
   kConflict,
   /// A job does not fit in its data centre even if all workers are free, or a
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -185,9 +185,13 @@
   return ViewOf(*job);
 }
 
-auto Dispatcher::AccountOf(const std::string& id) const -> std::string {
+auto Dispatcher::OwnerOf(const std::string& id) const
+    -> std::optional<JobOwner> {
   const auto* job = job_table_.FindJob(id);
-  return job == nullptr ? "" : job->spec.account;
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  return JobOwner{job->spec.queue, job->spec.account};
 }
 
 auto Dispatcher::Cancel(const std::string& id, ClockReading now)
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -21,6 +21,7 @@
 #include "LibDispatch/former_lease_bound.h"
 #include "LibDispatch/former_leases.h"
 #include "LibDispatch/job_order.h"
+#include "LibDispatch/job_owner.h"
 #include "LibDispatch/job_table.h"
 #include "LibDispatch/placement_finder.h"
 #include "LibDispatch/plan_pass.h"
@@ -94,8 +95,9 @@
   /// Withdraws an accepted job. The caller ensures that no row of it is stored.
   /// @return whether the job was removed and will never run.
   [[nodiscard]] auto Withdraw(const std::string& job, ClockReading now) -> bool;
-  /// @return the account that submitted a job.
-  [[nodiscard]] auto AccountOf(const std::string& job) const -> std::string;
+  /// @return whose the job is, or nothing if it is unknown.
+  [[nodiscard]] auto OwnerOf(const std::string& job) const
+      -> std::optional<JobOwner>;
   /// @return the number of jobs in phase kQueued, by queue.
   [[nodiscard]] auto PendingByQueue() const
       -> std::map<std::string, std::int64_t> {
--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -40,6 +40,7 @@
     RefusalRow{ErrorKind::kOutcomeUnknown,
                "Whether the request was taken is not known; send it again.", 0},
     RefusalRow{ErrorKind::kGone, "There is no such job.", 0},
+    RefusalRow{ErrorKind::kConflict, "The id is that of another job.", 0},
 };
 
 auto VerbOf(ClientVerb verb) -> std::optional<JobVerb> {
@@ -122,7 +123,8 @@
   HolderRequest request;
   request.verb = *verb;
   request.job = admitted.job;
-  request.account = admitted.account;
+  request.caller = {admitted.route->queue, admitted.account,
+                    admitted.route->is_public};
   if (*verb != JobVerb::kSubmit) {
     return request;
   }
--- a/Libraries/LibEntry/holder_request.cc
+++ b/Libraries/LibEntry/holder_request.cc
@@ -28,6 +28,12 @@
               "The specification is that of another job."};
     return true;
   }
+  if (request.spec.queue != request.caller.queue ||
+      request.spec.account != request.caller.account) {
+    reason = {core::ErrorKind::kBadInput, "spec",
+              "The specification is that of another queue or account."};
+    return true;
+  }
   return !dispatch::CheckJobSpec(request.spec, reason);
 }
 
@@ -38,7 +44,7 @@
   const auto document = core::ParseJson(text);
   std::string verb;
   core::MemberReader members(document);
-  members.Require({"verb", "job"});
+  members.Require({"verb", "job", "queue", "account"});
   members.Read("verb", verb);
   if (!members.Check("the request", reason)) {
     return std::nullopt;
--- a/Libraries/LibEntry/holder_request.h
+++ b/Libraries/LibEntry/holder_request.h
@@ -11,6 +11,7 @@
 #include "LibCore/reason.h"
 #include "LibDispatch/job_phase.h"
 #include "LibDispatch/job_spec.h"
+#include "LibEntry/job_access.h"
 
 namespace kcm::entry {
 
@@ -21,8 +22,7 @@
 struct HolderRequest {
   JobVerb verb = JobVerb::kRead;
   std::string job;
-  /// Client account of the caller; may be empty on a public queue.
-  std::string account;
+  JobCaller caller;
   /// Set for a submission.
   dispatch::JobSpec spec;
 };
@@ -54,7 +54,9 @@
     -> void {
   document = {{"verb", request.verb},
               {"job", request.job},
-              {"account", request.account}};
+              {"queue", request.caller.queue},
+              {"account", request.caller.account},
+              {"public", request.caller.is_public}};
   if (request.verb == JobVerb::kSubmit) {
     document["spec"] = request.spec;
   }
@@ -64,7 +66,8 @@
     -> void {
   request.verb = document.value("verb", JobVerb::kRead);
   request.job = document.value("job", "");
-  request.account = document.value("account", "");
+  request.caller = {document.value("queue", ""), document.value("account", ""),
+                    document.value("public", false)};
   if (const auto spec = document.find("spec"); spec != document.end()) {
     request.spec = spec->get<dispatch::JobSpec>();
   }
@@ -85,7 +88,8 @@
 
 /// Decodes a request that another process relays.
 /// @return the request, or nothing with `reason` of kind kBadInput if it is
-///     malformed or its job cannot be handled; see dispatch::CheckJobSpec().
+///     malformed, does not name its caller's queue, or its job cannot be
+///     handled; see dispatch::CheckJobSpec().
 [[nodiscard]] auto DecodeHolderRequest(const std::string& text,
                                        core::Reason& reason)
     -> std::optional<HolderRequest>;
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -470,6 +470,11 @@
     done({ErrorKind::kLogDown, {}, false});
     return;
   }
+  if (known && !IsVisible(request)) {
+    LogHiddenJob(request);
+    AnswerOnceStored(known->batch, {ErrorKind::kConflict, {}, false}, done);
+    return;
+  }
   const auto view = dispatcher_.Submit(request.spec, ReadClocks());
   AnswerOnceStored(view.batch, {ErrorKind::kNone, view.phase, false}, done,
                    request.job);
@@ -527,25 +532,39 @@
   }
 }
 
-auto TermHolder::IsKnown(const HolderRequest& request) const -> bool {
-  return dispatcher_.FindJob(request.job) &&
-         (request.account.empty() ||
-          dispatcher_.AccountOf(request.job) == request.account);
+auto TermHolder::FindAccess(const HolderRequest& request) const
+    -> std::optional<JobAccess> {
+  const auto owner = dispatcher_.OwnerOf(request.job);
+  if (!owner) {
+    return std::nullopt;
+  }
+  return CheckJobAccess(*owner, request.caller);
+}
+
+auto TermHolder::LogHiddenJob(const HolderRequest& request) const -> void {
+  const auto access = FindAccess(request);
+  if (!access || *access == JobAccess::kAllowed) {
+    return;
+  }
+  const auto owner = dispatcher_.OwnerOf(request.job);
+  core::LogEvent(core::Event::kJobHidden,
+                 {{"job", request.job},
+                  {"verb", core::NameOf(request.verb)},
+                  {"why", core::NameOf(*access)},
+                  {"job_queue", owner->queue},
+                  {"job_account", owner->account},
+                  {"queue", request.caller.queue},
+                  {"account", request.caller.account},
+                  {"public", request.caller.is_public}});
 }
 
 auto TermHolder::AnswerFromState(const HolderRequest& request) const
     -> HolderAnswer {
-  const auto view = dispatcher_.FindJob(request.job);
-  if (!IsKnown(request)) {
-    if (view) {
-      core::LogEvent(core::Event::kJobHidden,
-                     {{"job", request.job},
-                      {"verb", core::NameOf(request.verb)},
-                      {"job_account", dispatcher_.AccountOf(request.job)},
-                      {"account", request.account}});
-    }
+  if (!IsVisible(request)) {
+    LogHiddenJob(request);
     return {ErrorKind::kGone, {}, false};
   }
+  const auto view = dispatcher_.FindJob(request.job);
   const auto is_unstored_end = dispatch::IsEnded(view->phase) &&
                                view->batch > dispatcher_.stored_batch();
   if (!is_unstored_end) {
@@ -560,7 +579,7 @@
 
 auto TermHolder::AnswerOnceProven(const HolderRequest& request,
                                   const AnswerDone& done) -> void {
-  if (!IsKnown(request) && IsConfirmationStale()) {
+  if (!IsVisible(request) && IsConfirmationStale()) {
     done({ErrorKind::kLogDown, {}, false});
     return;
   }
@@ -570,7 +589,8 @@
 }
 
 auto TermHolder::AnswerNow(const UnprovenRequest& unproven) -> void {
-  if (unproven.request.verb == JobVerb::kCancel && IsKnown(unproven.request)) {
+  if (unproven.request.verb == JobVerb::kCancel &&
+      IsVisible(unproven.request)) {
     // It was submitted in the meantime.
     Cancel(unproven.request, unproven.done);
     return;
@@ -602,9 +622,9 @@
 auto TermHolder::AnswerWithoutProof() -> void {
   const auto is_stale = IsConfirmationStale();
   for (auto& unproven : std::exchange(unproven_requests_, {})) {
-    if (IsKnown(unproven.request) && IsStoreAway()) {
+    if (IsVisible(unproven.request) && IsStoreAway()) {
       AnswerNow(unproven);
-    } else if (!IsKnown(unproven.request) && is_stale) {
+    } else if (!IsVisible(unproven.request) && is_stale) {
       unproven.done({ErrorKind::kLogDown, {}, false});
     } else {
       unproven_requests_.push_back(std::move(unproven));
@@ -626,7 +646,7 @@
     -> void {
   const auto is_recent =
       core::SuspendAwareNow() - confirmed_at_ <= kMaxReadAgeMs;
-  if (IsKnown(request) && (is_recent || IsStoreAway())) {
+  if (IsVisible(request) && (is_recent || IsStoreAway())) {
     done(AnswerFromState(request));
     return;
   }
@@ -635,7 +655,7 @@
 
 auto TermHolder::Cancel(const HolderRequest& request, const AnswerDone& done)
     -> void {
-  if (!IsKnown(request)) {
+  if (!IsVisible(request)) {
     AnswerOnceProven(request, done);
     return;
   }
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -191,8 +191,15 @@
   /// @return the answer to a request about a job by the present state.
   [[nodiscard]] auto AnswerFromState(const HolderRequest& request) const
       -> HolderAnswer;
-  /// @return whether the caller may see the job and it is known.
-  [[nodiscard]] auto IsKnown(const HolderRequest& request) const -> bool;
+  /// @return whether the caller may see the job; nothing if it is unknown.
+  [[nodiscard]] auto FindAccess(const HolderRequest& request) const
+      -> std::optional<JobAccess>;
+  /// @return whether the job is known and the caller may see it.
+  [[nodiscard]] auto IsVisible(const HolderRequest& request) const -> bool {
+    return FindAccess(request) == JobAccess::kAllowed;
+  }
+  /// Logs why the caller may not see the job, if it is known.
+  auto LogHiddenJob(const HolderRequest& request) const -> void;
   [[nodiscard]] auto IsConfirmationStale() const -> bool;
   /// @return whether the store has not answered for more than a moment, counted
   ///     from the last pause of this process.
--- a/Tests/LibEntry/holder_request_test.cc
+++ b/Tests/LibEntry/holder_request_test.cc
@@ -13,7 +13,7 @@
   HolderRequest request;
   request.verb = GetParam();
   request.job = "a";
-  request.account = "kim";
+  request.caller = {"open", "kim", true};
   request.spec.id = "a";
   request.spec.payload = "text";
   request.spec.steps = {dispatch::StepSpec{}};
@@ -21,7 +21,9 @@
   const auto read = document.get<HolderRequest>();
   EXPECT_EQ(read.verb, request.verb);
   EXPECT_EQ(read.job, request.job);
-  EXPECT_EQ(read.account, request.account);
+  EXPECT_EQ(read.caller.queue, request.caller.queue);
+  EXPECT_EQ(read.caller.account, request.caller.account);
+  EXPECT_EQ(read.caller.is_public, request.caller.is_public);
   const auto is_submission = GetParam() == JobVerb::kSubmit;
   EXPECT_EQ(document.contains("spec"), is_submission);
   EXPECT_EQ(read.spec.payload, is_submission ? "text" : "");
--- a/Tests/LibEntry/odd_message_test.cc
+++ b/Tests/LibEntry/odd_message_test.cc
@@ -193,8 +193,8 @@
 
 auto RelayedJob(const std::string& steps, const std::string& more = "")
     -> std::string {
-  return R"({"verb":"submit","job":"a","account":"","spec":{"id":"a",)" + more +
-         R"("steps":)" + steps + "}}";
+  return R"({"verb":"submit","job":"a","queue":"","account":"","spec":{"id":"a",)" +
+         more + R"("steps":)" + steps + "}}";
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -207,16 +207,35 @@
         BodyCase{"job_not_utf8", kJobPath, "{\"job\":\"\xff\"}"},
         BodyCase{"job_deep", kJobPath, DeeplyNested()},
         BodyCase{"job_list", kJobPath, "[]"},
-        BodyCase{"job_without_id", kJobPath, R"({"verb":"read"})"},
+        BodyCase{"job_without_id", kJobPath,
+                 R"({"verb":"read","queue":"","account":""})"},
         BodyCase{"job_id_too_long", kJobPath,
-                 R"({"verb":"read","job":")" + std::string(300, 'a') + "\"}"},
-        BodyCase{"verb_unknown", kJobPath, R"({"verb":"odd","job":"a"})"},
-        BodyCase{"verb_number", kJobPath, R"({"verb":7,"job":"a"})"},
+                 R"({"verb":"read","queue":"","account":"","job":")" +
+                     std::string(300, 'a') + "\"}"},
+        BodyCase{"verb_unknown", kJobPath,
+                 R"({"verb":"odd","job":"a","queue":"","account":""})"},
+        BodyCase{"verb_number", kJobPath,
+                 R"({"verb":7,"job":"a","queue":"","account":""})"},
         BodyCase{"submission_without_spec", kJobPath,
-                 R"({"verb":"submit","job":"a"})"},
+                 R"({"verb":"submit","job":"a","queue":"","account":""})"},
         BodyCase{
             "submission_of_another_job", kJobPath,
-            R"({"verb":"submit","job":"b","spec":{"id":"a","steps":[{}]}})"},
+            R"({"verb":"submit","job":"b","queue":"","account":"","spec":{"id":"a","steps":[{}]}})"},
+        BodyCase{"read_without_queue", kJobPath,
+                 R"({"verb":"read","job":"a","account":""})"},
+        BodyCase{"read_without_account", kJobPath,
+                 R"({"verb":"read","job":"a","queue":""})"},
+        BodyCase{
+            "public_text", kJobPath,
+            R"({"verb":"read","job":"a","queue":"","account":"","public":"yes"})"},
+        BodyCase{
+            "submission_for_another_queue", kJobPath,
+            R"({"verb":"submit","job":"a","queue":"q","account":"","spec":)"
+            R"({"id":"a","steps":[{"tasks":1}]}})"},
+        BodyCase{
+            "submission_for_another_account", kJobPath,
+            R"({"verb":"submit","job":"a","queue":"","account":"kim","spec":)"
+            R"({"id":"a","steps":[{"tasks":1}]}})"},
         BodyCase{"no_steps", kJobPath, RelayedJob("[]")},
         BodyCase{"tasks_1e18", kJobPath,
                  RelayedJob(R"([{"tasks":1000000000000000000}])")},
--- /dev/null
+++ b/Tests/System/entry_access_test.py
@@ -0,0 +1,111 @@
+"""Who may read, cancel and repeat a job, at each of three kcm-entry processes."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+import cluster as testing
+from entry_platform import HOST, Client, EntryPlatform, EntryVm, route_of, until
+
+OPEN, JOBS = "/jobs/open/", "/jobs/"  # a public route within a private one
+PARKS, ROADS = "key-parks", "key-roads"
+KEYS = {"parks": [PARKS], "roads": [ROADS]}
+ROUTES = [route_of("open", OPEN, public=True), route_of("jobs", JOBS)]
+RUN_MS = 30000  # longer than a test
+JOB: dict[str, Any] = {
+    "task_spec": json.dumps([{"ms": RUN_MS, "cpu": 100}]),
+    "phases": [{"count": 1, "cpu": 100, "est_runtime_ms": RUN_MS}],
+}
+
+
+class EntryAccess(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = await self.enterAsyncContext(EntryPlatform(vms=3, machines=2))
+        await until(self.platform.holder, "a VM holds the term")
+        self.configure(2, ROUTES, KEYS)
+        for vm in self.platform.vms:
+            await until(lambda vm=vm: self.has_routes(vm, 2), f"{vm.name} has the routes")
+
+    def configure(self, version: int, routes: list[dict[str, Any]], keys: dict[str, list[str]]) -> None:
+        self.platform.configure(version, routes, keys)
+
+    @staticmethod
+    def has_routes(vm: EntryVm, version: int) -> bool:
+        text = vm.log.read_text()
+        return f'"version":{version}' in text or f"version={version}" in text
+
+    async def status(self, vm: EntryVm, method: str, path: str, key: str | None) -> int:
+        """Returns the status of a call on a connection of its own; zero without an answer."""
+        client = Client(vm.address("front"))
+        headers = {"Host": HOST, "Deadline_Ms": "3000"} | ({"Api_Key": key} if key else {})
+        answer = await client.call(method, path, JOB if method == "POST" else None, **headers)
+        client.close()
+        return answer.status if answer else 0
+
+    async def check(self, cases: tuple[tuple[str, str, str | None, int], ...]) -> None:
+        """Makes each call at each VM that runs, and compares the statuses."""
+        for vm in self.platform.vms:
+            for method, path, key, expected in cases if vm.runs() else ():
+                with self.subTest(f"{method} {path} with {key} at {vm.name}"):
+                    self.assertEqual(await self.status(vm, method, path, key), expected)
+
+    # Guards against a stranger who ends a client account's job: a call without a key through
+    # a public route read and cancelled the jobs of all queues and accounts.
+    # Guards also against an accepted job that is hidden from its caller: on a public queue a
+    # caller with a key was told that a job handed in without one does not exist.
+    async def test_job_is_shown_to_callers_of_its_queue_and_account_only(self) -> None:
+        first = self.platform.vms[0]
+        private, keyless, keyed = (f"{number:016x}" for number in (1, 2, 3))
+        for path, key in ((JOBS + private, PARKS), (OPEN + keyless, None), (OPEN + keyed, PARKS)):
+            self.assertEqual(await self.status(first, "POST", path, key), 200)
+        cases = (
+            ("GET", OPEN + private, None, 410),
+            ("DELETE", OPEN + private, None, 410),
+            ("POST", OPEN + private, None, 409),
+            ("GET", OPEN + private, PARKS, 410),
+            ("GET", JOBS + private, ROADS, 410),
+            ("DELETE", JOBS + private, ROADS, 410),
+            ("POST", JOBS + private, ROADS, 409),
+            ("GET", JOBS + keyless, PARKS, 410),
+            ("GET", JOBS + private, None, 401),
+            ("GET", JOBS + private, PARKS, 200),
+            ("POST", JOBS + private, PARKS, 200),
+            ("GET", OPEN + keyless, None, 200),
+            ("GET", OPEN + keyless, PARKS, 200),
+            ("GET", OPEN + keyed, None, 200),
+            ("GET", OPEN + keyed, ROADS, 200),
+        )
+        await self.check(cases)
+        holder = self.platform.holder()
+        await holder.kill()
+        await until(lambda: self.platform.holder() not in (None, holder), "another VM holds")
+        await asyncio.sleep(0.5)
+        await self.check(cases)
+        for other in (vm for vm in self.platform.vms if vm.runs()):
+            self.assertEqual(await self.status(other, "DELETE", JOBS + private, PARKS), 200)
+
+    # Guards against a job that its caller cannot reach any more after a change of its route.
+    async def test_job_stays_with_its_queue_when_the_route_changes(self) -> None:
+        first = self.platform.vms[0]
+        keyless, keyed = (f"{number:016x}" for number in (4, 5))
+        self.assertEqual(await self.status(first, "POST", OPEN + keyless, None), 200)
+        self.assertEqual(await self.status(first, "POST", JOBS + keyed, PARKS), 200)
+        # The public queue becomes private and the other way round; both are moved.
+        routes = [route_of("open", "/was-open/"), route_of("jobs", "/was-jobs/", public=True)]
+        self.configure(3, routes, KEYS)
+        for vm in self.platform.vms:
+            await until(lambda vm=vm: self.has_routes(vm, 3), f"{vm.name} has the routes")
+        await self.check(
+            (
+                ("GET", "/was-open/" + keyless, None, 401),
+                ("GET", "/was-open/" + keyless, ROADS, 200),
+                ("GET", "/was-jobs/" + keyed, None, 200),
+                ("GET", "/was-jobs/" + keyless, None, 410),
+                ("GET", JOBS + keyed, PARKS, 404),
+            )
+        )
+
+
+if __name__ == "__main__":
+    testing.main()
--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -642,6 +642,14 @@
         await asyncio.sleep(TICK_S)
 
 
+def route_of(name: str = "queue", prefix: str = PREFIX, **members: Any) -> dict[str, Any]:
+    """A queue and its route in the operators' configuration."""
+    return {
+        "name": name, "host": HOST, "path_prefix": prefix, "service": "runners", "priority": 1,
+        "max_attempts": MAX_ATTEMPTS, "slack_factor": 4.0, "target_latency_ms": 1000, **members,
+    }  # fmt: skip
+
+
 class EntryPlatform:
     """Store, workers and entry VMs on one loopback network; a context manager."""
 
@@ -705,16 +713,17 @@
     def remove_folder(self) -> None:
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def configure(self, version: int) -> None:
-        """Writes a version of the operators' configuration."""
-        route = {
-            "name": "queue", "host": HOST, "path_prefix": PREFIX, "service": "runners",
-            "priority": 1, "max_attempts": MAX_ATTEMPTS, "slack_factor": 4.0,
-            "target_latency_ms": 1000,
-        }  # fmt: skip
+    def configure(
+        self, version: int, routes: list[dict[str, Any]] | None = None,
+        keys: dict[str, list[str]] | None = None,
+    ) -> None:  # fmt: skip
+        """Writes a version of the operators' configuration; `keys` holds those of each account."""
         document = {
-            "version": version, "routes": [route], "services": [], "limits": {},
-            "tenants": [{"name": "council", "api_keys": [API_KEY]}],
+            "version": version, "routes": routes or [route_of()], "services": [], "limits": {},
+            "tenants": [
+                {"name": name, "api_keys": tokens}
+                for name, tokens in (keys or {"council": [API_KEY]}).items()
+            ],
         }  # fmt: skip
         self.store.topics[OPERATOR_TOPIC].put("config", json.dumps(document).encode())
 
