LibEntry: Refuse calls for good by the newest configuration only

What callers saw: a VM that had just woken, or that the store did not answer, refused a key that the operators had added meanwhile with 401, and a call on an added route with 404 or, where a shorter prefix matched, 410. All three are final for a caller, though any other VM would have served the call.

Cause: ClientRequestHandler judged each call by the routes at hand, whatever their age. TableFollower knew when it had last read all changes, and nobody asked it.

Now such a refusal needs a read of the configuration that was sent 1.5 s before at most; without one, RoutesConfirmation sends a read beside the one whose answer the store delays, holds the call for 500 ms at most, or 100 ms if the newest read has failed, and judges it anew. If the store does not answer, the caller gets 503 and may come again; the call was not taken. Calls that the routes allow are not held.

Why it works: the store ends a delayed read within a second, or at once when a version is written, so that while it answers the bound always holds and refusals cost no read and no time. TableFollower passes each row on once, also when two reads return it.

The test of odd paths waits until the configuration is read, since its refusal rests on it; what it expects is unchanged.

--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -78,19 +78,21 @@
 
 auto Refusal(core::Reason reason) -> ClientAnswer {
   ClientAnswer answer;
+  // The routes are read within a moment.
+  answer.retry_after_ms = reason.kind == ErrorKind::kNoEndpoint ? 1000 : 0;
   answer.reason = std::move(reason);
   return answer;
 }
 
+auto TimeoutOf(const ClientCall& call) -> Millis {
+  return call.timeout_ms > 0 ? call.timeout_ms : kDefaultTimeoutMs;
+}
+
 }  // namespace
 
 auto ClientRequestHandler::Admit(const ClientCall& call,
                                  core::Reason& reason) const
     -> std::optional<Admitted> {
-  if (routes_.version == 0) {
-    return reason.Fail(ErrorKind::kNoEndpoint, "",
-                       "No configuration has been read yet.");
-  }
   Admitted admitted;
   admitted.route = routes_.FindRoute(call.host, call.path);
   if (admitted.route == nullptr) {
@@ -103,6 +105,17 @@
     return reason.Fail(ErrorKind::kBadToken, "", "The token is not known.");
   }
   admitted.job = call.path.substr(admitted.route->path_prefix.size());
+  const auto is_submission = call.verb == ClientVerb::kSubmit;
+  const auto is_about_queue =
+      admitted.job.empty() && call.verb == ClientVerb::kRead;
+  if (!is_about_queue && !is_job_id_(admitted.job)) {
+    return reason.Fail(is_submission ? ErrorKind::kBadInput : ErrorKind::kGone,
+                       "job", "The path ends with no job id.");
+  }
+  if (is_submission &&
+      static_cast<std::int64_t>(call.body.size()) > routes_.max_body_bytes) {
+    return reason.Fail(ErrorKind::kBadInput, "body", "The body is too long.");
+  }
   return admitted;
 }
 
@@ -110,27 +123,14 @@
                                        const Admitted& admitted,
                                        core::Reason& reason) const
     -> std::optional<HolderRequest> {
-  const auto verb = VerbOf(call.verb);
-  if (!verb) {
-    return reason.Fail(ErrorKind::kBadInput, "method",
-                       "The method is none of POST, GET and DELETE.");
-  }
-  if (!is_job_id_(admitted.job)) {
-    return reason.Fail(
-        *verb == JobVerb::kSubmit ? ErrorKind::kBadInput : ErrorKind::kGone,
-        "job", "The path ends with no job id.");
-  }
   HolderRequest request;
-  request.verb = *verb;
+  request.verb = *VerbOf(call.verb);
   request.job = admitted.job;
   request.caller = {admitted.route->queue, admitted.account,
                     admitted.route->is_public};
-  if (*verb != JobVerb::kSubmit) {
+  if (request.verb != JobVerb::kSubmit) {
     return request;
   }
-  if (static_cast<std::int64_t>(call.body.size()) > routes_.max_body_bytes) {
-    return reason.Fail(ErrorKind::kBadInput, "body", "The body is too long.");
-  }
   auto spec = read_job_(call.body, reason);
   if (!spec) {
     return std::nullopt;
@@ -159,24 +159,61 @@
     -> void {
   const auto started_at = core::SuspendAwareNow();
   core::Reason reason;
-  const auto admitted = Admit(call, reason);
-  if (!admitted) {
-    auto answer = Refusal(reason);
-    answer.retry_after_ms = reason.kind == ErrorKind::kNoEndpoint ? 1000 : 0;
-    Finish(call, "", started_at, std::move(answer), done);
+  if (!VerbOf(call.verb)) {
+    reason = {ErrorKind::kBadInput, "method",
+              "The method is none of POST, GET and DELETE."};
+    Finish(call, "", started_at, Refusal(reason), done);
+    return;
+  }
+  if (routes_.version == 0) {
+    reason = {ErrorKind::kNoEndpoint, "",
+              "No configuration has been read yet."};
+    Finish(call, "", started_at, Refusal(reason), done);
+    return;
+  }
+  if (const auto admitted = Admit(call, reason)) {
+    Serve(call, *admitted, started_at, done);
     return;
   }
-  if (admitted->job.empty() && call.verb == ClientVerb::kRead) {
-    AnswerPending(*admitted, done);
+  RefuseOnceConfirmed(call, started_at, done);
+}
+
+auto ClientRequestHandler::RefuseOnceConfirmed(const ClientCall& call,
+                                               Millis started_at,
+                                               const Done& done) -> void {
+  const auto max_wait =
+      std::max(TimeoutOf(call) - kAnswerReserveMs, kAnswerReserveMs);
+  confirmation_.Await(max_wait, [this, call, started_at,
+                                 done](bool is_confirmed) {
+    core::Reason reason;
+    if (const auto admitted = Admit(call, reason)) {
+      Serve(call, *admitted, started_at, done);
+      return;
+    }
+    if (!is_confirmed) {
+      reason = {ErrorKind::kNoEndpoint, reason.field,
+                "Whether the configuration here is the newest is not known; "
+                "the request was not taken."};
+    }
+    Finish(call, "", started_at, Refusal(reason), done);
+  });
+}
+
+auto ClientRequestHandler::Serve(const ClientCall& call,
+                                 const Admitted& admitted,
+                                 Millis started_at,
+                                 const Done& done) -> void {
+  if (admitted.job.empty()) {
+    AnswerPending(admitted, done);
     return;
   }
-  auto request = MakeRequest(call, *admitted, reason);
+  core::Reason reason;
+  const auto request = MakeRequest(call, admitted, reason);
   if (!request) {
-    Finish(call, admitted->job, started_at, Refusal(reason), done);
+    Finish(call, admitted.job, started_at, Refusal(reason), done);
     return;
   }
-  const auto timeout =
-      call.timeout_ms > 0 ? call.timeout_ms : kDefaultTimeoutMs;
+  const auto timeout = TimeoutOf(call);
   const auto wait = request->verb == JobVerb::kSubmit
                         ? static_cast<Millis>(kSubmitTimeoutFraction *
                                               static_cast<double>(timeout))
@@ -184,7 +221,7 @@
   holder_.SendRequest(
       *request, started_at + std::max(wait, kAnswerReserveMs), false,
       [this, call, started_at, verb = request->verb, job = request->job,
-       done = std::move(done)](const HolderAnswer& holder_answer) {
+       done](const HolderAnswer& holder_answer) {
         Finish(call, job, started_at, AnswerFor(verb, holder_answer), done);
       });
 }
@@ -200,15 +237,18 @@
   metrics_.Observe("client_call", took);
   const auto is_ok = answer.reason.kind == ErrorKind::kNone;
   if (!is_ok || call.verb != ClientVerb::kRead) {
+    core::Json fields = {{"job", job},
+                         {"path", call.path},
+                         {"verb", core::NameOf(call.verb)},
+                         {"end", error},
+                         {"routes_version", routes_.version},
+                         {"took_ms", took},
+                         {"retry_after_ms", answer.retry_after_ms}};
+    if (const auto age = confirmation_.AgeMs()) {
+      fields["routes_age_ms"] = *age;
+    }
     core::LogEvent(
-        is_ok ? core::Event::kCallAnswered : core::Event::kCallRefused,
-        {{"job", job},
-         {"path", call.path},
-         {"verb", core::NameOf(call.verb)},
-         {"end", error},
-         {"routes_version", routes_.version},
-         {"took_ms", took},
-         {"retry_after_ms", answer.retry_after_ms}});
+        is_ok ? core::Event::kCallAnswered : core::Event::kCallRefused, fields);
   }
   done(std::move(answer));
 }
--- a/Libraries/LibEntry/client_request_handler.h
+++ b/Libraries/LibEntry/client_request_handler.h
@@ -7,12 +7,14 @@
 #include "LibEntry/client_call.h"
 #include "LibEntry/holder_client.h"
 #include "LibEntry/route_table.h"
+#include "LibEntry/routes_confirmation.h"
 #include "LibNode/metrics.h"
 
 namespace kcm::entry {
 
 /// Checks client calls against the routes in force and forwards them to the
-/// term holder.
+/// term holder. A call that these do not allow is refused for good only if they
+/// are known to be the newest.
 class ClientRequestHandler {
  public:
   using Done = std::function<void(ClientAnswer)>;
@@ -28,12 +30,14 @@
       std::function<std::optional<std::int64_t>(const std::string& queue)>;
 
   ClientRequestHandler(const RouteTable& routes,
+                       RoutesConfirmation& confirmation,
                        HolderClient& holder,
                        node::Metrics& metrics,
                        ReadJob read_job,
                        IsJobId is_job_id,
                        PendingJobs pending_jobs)
       : routes_(routes),
+        confirmation_(confirmation),
         holder_(holder),
         metrics_(metrics),
         read_job_(std::move(read_job)),
@@ -52,8 +56,19 @@
     std::string job;
   };
 
+  /// @return the call if the routes allow it, or nothing with `reason`, which
+  ///     rests on the routes.
   auto Admit(const ClientCall& call, core::Reason& reason) const
       -> std::optional<Admitted>;
+  /// Refuses a call that the routes do not allow, or serves it after all if a
+  /// newer version does.
+  auto RefuseOnceConfirmed(const ClientCall& call,
+                           core::Millis started_at,
+                           const Done& done) -> void;
+  auto Serve(const ClientCall& call,
+             const Admitted& admitted,
+             core::Millis started_at,
+             const Done& done) -> void;
   auto AnswerPending(const Admitted& admitted, const Done& done) const -> void;
   [[nodiscard]] auto MakeRequest(const ClientCall& call,
                                  const Admitted& admitted,
@@ -66,6 +81,7 @@
               const Done& done) const -> void;
 
   const RouteTable& routes_;
+  RoutesConfirmation& confirmation_;
   HolderClient& holder_;
   node::Metrics& metrics_;
   ReadJob read_job_;
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -77,7 +77,8 @@
   service->operators_follower_ = std::make_unique<TableFollower>(
       dependencies.loop, dependencies.store,
       FollowSettings{platform::Table::kConfiguration, kOperatorsWaitMs, 0},
-      [raw](const RowBatch& batch) { raw->OnOperatorRows(batch.rows); });
+      [raw](const RowBatch& batch) { raw->OnOperatorRows(batch.rows); },
+      [raw] { raw->routes_confirmation_.OnRead(); });
   service->peers_.OnNewerRoutes(
       [raw](const core::Address& peer) { raw->FetchRoutes(peer); });
   dependencies.loop.Every(kTickMs, [raw] { raw->RunDueWork(); });
@@ -119,7 +120,14 @@
           peers_,
           [this] { return holder_; },
           [this] { return StoreAnswered(kStoreAnswersMs); }),
-      election_({}, 0) {}
+      election_({}, 0),
+      routes_confirmation_(
+          dependencies.loop,
+          [this] {
+            return RoutesAge{operators_follower_->current_as_of(),
+                             operators_follower_->is_store_away()};
+          },
+          [this] { operators_follower_->ReadNow(); }) {}
 
 auto EntryService::SetSettings(const EntrySettings& settings) -> void {
   settings_ = settings;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -18,6 +18,7 @@
 #include "LibEntry/peer_monitor.h"
 #include "LibEntry/platform_decoders.h"
 #include "LibEntry/route_table.h"
+#include "LibEntry/routes_confirmation.h"
 #include "LibEntry/state_reader.h"
 #include "LibEntry/table_follower.h"
 #include "LibEntry/term_holder.h"
@@ -63,6 +64,9 @@
   [[nodiscard]] auto IsReady() const -> bool;
 
   [[nodiscard]] auto routes() const -> const RouteTable& { return routes_; }
+  [[nodiscard]] auto routes_confirmation() -> RoutesConfirmation& {
+    return routes_confirmation_;
+  }
   [[nodiscard]] auto holder_client() -> HolderClient& { return holder_client_; }
   /// @return number of jobs of a queue in phase kQueued; nothing if it is
   ///     unknown or outdated.
@@ -127,6 +131,7 @@
   core::Millis min_store_round_trip_ms_ =
       std::numeric_limits<core::Millis>::max();
   std::unique_ptr<TableFollower> operators_follower_;
+  RoutesConfirmation routes_confirmation_;
   std::unique_ptr<net::HttpServer> peer_server_;
   core::Millis next_heartbeat_at_ = 0;
   core::Millis next_term_read_at_ = 0;
--- /dev/null
+++ b/Libraries/LibEntry/routes_confirmation.cc
@@ -0,0 +1,60 @@
+#include "LibEntry/routes_confirmation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kcm::entry {
+
+namespace {
+
+using core::Millis;
+
+/// The store ends a read of the configuration after a second at the latest, and
+/// at once when there is a newer version.
+constexpr Millis kMaxAgeMs = 1500;
+/// Longest wait for a read: some round trips between regions.
+constexpr Millis kMaxWaitMs = 500;
+/// The same while the store does not answer, as it may not for seconds.
+constexpr Millis kMaxWaitInOutageMs = 100;
+
+}  // namespace
+
+auto RoutesConfirmation::AgeMs() const -> std::optional<Millis> {
+  const auto current_as_of = age_().current_as_of;
+  if (current_as_of == 0) {
+    return std::nullopt;
+  }
+  return core::SuspendAwareNow() - current_as_of;
+}
+
+auto RoutesConfirmation::IsRecent() const -> bool {
+  const auto age = AgeMs();
+  return age && *age <= kMaxAgeMs;
+}
+
+auto RoutesConfirmation::Await(Millis max_wait, Done done) -> void {
+  if (IsRecent()) {
+    done(true);
+    return;
+  }
+  const auto waiter = next_waiter_++;
+  waiters_.emplace(waiter, std::move(done));
+  const auto longest = age_().is_store_away ? kMaxWaitInOutageMs : kMaxWaitMs;
+  loop_.After(std::min(max_wait, longest), [this, waiter] {
+    if (auto node = waiters_.extract(waiter)) {
+      node.mapped()(false);
+    }
+  });
+  read_now_();
+}
+
+auto RoutesConfirmation::OnRead() -> void {
+  if (!IsRecent()) {
+    return;
+  }
+  for (const auto& [waiter, done] : std::exchange(waiters_, {})) {
+    done(true);
+  }
+}
+
+}  // namespace kcm::entry
--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -12,20 +12,48 @@
 /// store takes some hundred milliseconds.
 constexpr core::Millis kReadTimeoutMs = 700;
 constexpr core::Millis kFollowRetryMs = 150;
+/// Least time between two reads by ReadNow(), which callers can cause.
+constexpr core::Millis kReadNowPauseMs = 100;
 
 }  // namespace
 
 TableFollower::TableFollower(net::EventLoop& loop,
                              platform::KeyedStore& store,
                              FollowSettings settings,
-                             OnRows on_rows)
-    : state_(std::make_shared<State>(
-          State{loop, store, settings, std::move(on_rows), {}, 0, 0, 0})) {
+                             OnRows on_rows,
+                             OnRead on_read)
+    : state_(std::make_shared<State>(State{
+          loop, store, settings, std::move(on_rows), std::move(on_read)})) {
   ReadWhole(state_, "");
 }
 
+auto TableFollower::ReadNow() -> void {
+  const auto now = core::SuspendAwareNow();
+  if (!state_->reads_changes || state_->read_now_in_flight ||
+      now - state_->read_now_at < kReadNowPauseMs) {
+    return;
+  }
+  state_->read_now_at = now;
+  state_->read_now_in_flight = true;
+  state_->store.ReadFrom(
+      state_->settings.table, state_->offset, 0, kReadTimeoutMs,
+      [weak = Weak(state_), sent = ChangesRead{state_->offset, now}](
+          platform::TableReadResult read) {
+        const auto alive = weak.lock();
+        if (alive == nullptr) {
+          return;
+        }
+        alive->read_now_in_flight = false;
+        // What else may have happened is found by the other read.
+        if (read.answered && read.first_offset <= alive->offset) {
+          ApplyChanges(alive, sent, std::move(read));
+        }
+      });
+}
+
 auto TableFollower::ReadWhole(const std::shared_ptr<State>& state,
                               const std::string& after) -> void {
+  state->reads_changes = false;
   state->store.ReadNewest(
       state->settings.table, after, kReadTimeoutMs,
       [weak = Weak(state), after,
@@ -40,6 +68,7 @@
                            const std::string& after,
                            core::Millis sent_at,
                            platform::TableReadResult read) -> void {
+  state->is_store_away = !read.answered;
   if (!read.answered) {
     Retry(state, true);
     return;
@@ -59,6 +88,11 @@
     return;
   }
   state->on_rows({std::exchange(state->pages, {}), true, std::nullopt});
+  state->reads_changes = true;
+  state->current_as_of = state->caught_up_at;
+  if (state->on_read) {
+    state->on_read();
+  }
   state->loop.After(state->settings.pause_ms, [weak = Weak(state)] {
     if (const auto alive = weak.lock()) {
       ReadChanges(alive);
@@ -67,36 +101,29 @@
 }
 
 auto TableFollower::ReadChanges(const std::shared_ptr<State>& state) -> void {
-  state->store.ReadFrom(state->settings.table, state->offset,
-                        state->settings.wait_ms, kReadTimeoutMs,
-                        [weak = Weak(state), sent_at = core::SuspendAwareNow()](
-                            platform::TableReadResult read) {
-                          if (const auto alive = weak.lock()) {
-                            OnChanges(alive, sent_at, std::move(read));
-                          }
-                        });
+  const ChangesRead sent{state->offset, core::SuspendAwareNow()};
+  state->store.ReadFrom(
+      state->settings.table, sent.from, state->settings.wait_ms, kReadTimeoutMs,
+      [weak = Weak(state), sent](platform::TableReadResult read) {
+        if (const auto alive = weak.lock()) {
+          OnChanges(alive, sent, std::move(read));
+        }
+      });
 }
 
 auto TableFollower::OnChanges(const std::shared_ptr<State>& state,
-                              core::Millis sent_at,
+                              const ChangesRead& sent,
                               platform::TableReadResult read) -> void {
   if (read.expired || (read.answered && read.first_offset > state->offset)) {
     ReadWhole(state, "");
     return;
   }
+  state->is_store_away = !read.answered;
   if (!read.answered) {
     Retry(state, false);
     return;
   }
-  state->answered_at = core::SuspendAwareNow();
-  state->offset += static_cast<std::int64_t>(read.rows.size());
-  const auto written_after = state->caught_up_at;
-  if (state->offset >= read.end_offset) {
-    state->caught_up_at = sent_at;
-  }
-  if (!read.rows.empty()) {
-    state->on_rows({std::move(read.rows), false, written_after});
-  }
+  ApplyChanges(state, sent, std::move(read));
   state->loop.After(state->settings.pause_ms, [weak = Weak(state)] {
     if (const auto alive = weak.lock()) {
       ReadChanges(alive);
@@ -104,6 +131,29 @@
   });
 }
 
+auto TableFollower::ApplyChanges(const std::shared_ptr<State>& state,
+                                 const ChangesRead& sent,
+                                 platform::TableReadResult read) -> void {
+  state->answered_at = core::SuspendAwareNow();
+  const auto written_after = state->caught_up_at;
+  // Rows that another read has returned first are already passed on.
+  const auto is_next = sent.from == state->offset;
+  state->offset += is_next ? static_cast<std::int64_t>(read.rows.size()) : 0;
+  const auto has_all = state->offset >= read.end_offset;
+  if (has_all) {
+    state->caught_up_at = std::max(state->caught_up_at, sent.sent_at);
+  }
+  if (is_next && !read.rows.empty()) {
+    state->on_rows({std::move(read.rows), false, written_after});
+  }
+  if (has_all) {
+    state->current_as_of = state->caught_up_at;
+  }
+  if (state->on_read) {
+    state->on_read();
+  }
+}
+
 auto TableFollower::Retry(const std::shared_ptr<State>& state, bool whole)
     -> void {
   state->loop.After(kFollowRetryMs, [weak = Weak(state), whole] {
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -77,9 +77,9 @@
 auto EntryProcess::OpenServers(const EntrySettings& settings,
                                core::Reason& reason) -> bool {
   client_request_handler_ = std::make_unique<ClientRequestHandler>(
-      service_->routes(), service_->holder_client(), *metrics_,
-      adapter::DecodeJobRequest, adapter::IsJobId,
-      [this](const std::string& queue) {
+      service_->routes(), service_->routes_confirmation(),
+      service_->holder_client(), *metrics_, adapter::DecodeJobRequest,
+      adapter::IsJobId, [this](const std::string& queue) {
         return service_->PendingJobs(queue);
       });
   client_server_ = net::HttpServer::create(
--- a/Tests/LibEntry/fake_store.h
+++ b/Tests/LibEntry/fake_store.h
@@ -74,7 +74,6 @@
                 core::Millis wait,
                 core::Millis timeout,
                 ReadDone done) -> void override {
-    std::ignore = wait;
     std::ignore = timeout;
     platform::TableReadResult read;
     read.answered = !refuse;
@@ -84,7 +83,8 @@
          index < log.size() && read.rows.size() < change_rows; ++index) {
       read.rows.push_back(log[index]);
     }
-    loop_.After(5, [done, read] { done(read); });
+    const auto is_delayed = delay_reads && wait > 0;
+    loop_.After(is_delayed ? wait : 5, [done, read] { done(read); });
   }
 
   std::map<std::string, std::string> state;
@@ -99,6 +99,8 @@
   bool refuse = false;
   /// The next append is refused after this time.
   std::optional<core::Millis> refuse_next_after_ms;
+  /// Reads of changes that may be delayed are, and tell what was there before.
+  bool delay_reads = false;
   /// Reads of more than the term's row fail.
   bool refuse_state_reads = false;
   /// Maximum number of rows in one answer.
--- a/Tests/LibEntry/odd_message_test.cc
+++ b/Tests/LibEntry/odd_message_test.cc
@@ -258,8 +258,11 @@
   RouteTable routes;
   routes.version = 1;
   routes.routes = {{"q", "h", "/q/", true, {}}};
+  // Until the configuration is read, no refusal that rests on it is final.
+  RunFor(100);
   ClientRequestHandler handler(
-      routes, service->holder_client(), *metrics_,
+      routes, service->routes_confirmation(), service->holder_client(),
+      *metrics_,
       [](const std::string&, core::Reason&) {
         return std::optional<dispatch::JobSpec>();
       },
--- a/Tests/LibEntry/table_follower_test.cc
+++ b/Tests/LibEntry/table_follower_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -66,5 +67,72 @@
                                          FollowCase{"one_by_one", 1}),
                          [](const auto& info) { return info.param.name; });
 
+/// How a read on demand and the delayed one meet.
+struct ReadNowCase {
+  const char* name;
+  /// Time until the delayed read is answered.
+  core::Millis wait_ms;
+  /// A row is written before the read on demand.
+  bool has_change;
+};
+
+class ReadNowTest : public testing::TestWithParam<ReadNowCase> {};
+
+// Guards against a process that takes its configuration for current although a
+// newer version is stored, or applies one version twice, because two reads were
+// in flight at once.
+TEST_P(ReadNowTest, PassesEachRowOnOnceAndTellsWhatItHasSeen) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  auto& table = store.tables[platform::Table::kConfiguration];
+  table = {{"config", "1"}};
+  std::vector<std::string> values;
+  int reads = 0;
+  std::unique_ptr<TableFollower> follower;
+  follower = std::make_unique<TableFollower>(
+      loop, store,
+      FollowSettings{platform::Table::kConfiguration, GetParam().wait_ms, 0},
+      [&](const RowBatch& batch) {
+        for (const auto& row : batch.rows) {
+          values.push_back(row.value);
+        }
+      },
+      [&] { ++reads; });
+  const auto run_for = [&](core::Millis span) {
+    loop.After(span, [&loop] { loop.Stop(); });
+    loop.Run();
+  };
+  EXPECT_EQ(follower->current_as_of(), 0);
+  follower->ReadNow();
+  run_for(30);
+  ASSERT_EQ(values.size(), 1U);
+  store.delay_reads = true;
+  run_for(20);
+  if (GetParam().has_change) {
+    table.push_back({"config", "2"});
+  }
+  const auto asked_at = core::SuspendAwareNow();
+  const auto reads_before = reads;
+  follower->ReadNow();
+  follower->ReadNow();
+  run_for(30);
+  EXPECT_GE(follower->current_as_of(), asked_at);
+  EXPECT_GT(reads, reads_before);
+  EXPECT_EQ(values.size(), GetParam().has_change ? 2U : 1U);
+  run_for(2 * GetParam().wait_ms);
+  EXPECT_GE(follower->current_as_of(), asked_at);
+  EXPECT_EQ(values.size(), GetParam().has_change ? 2U : 1U);
+  table.push_back({"config", "3"});
+  run_for(2 * GetParam().wait_ms + 30);
+  EXPECT_EQ(values.back(), "3");
+  EXPECT_EQ(values.size(), GetParam().has_change ? 3U : 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Reads,
+                         ReadNowTest,
+                         testing::Values(ReadNowCase{"no_change", 100, false},
+                                         ReadNowCase{"change", 100, true}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::entry
--- a/Tests/System/entry_access_test.py
+++ b/Tests/System/entry_access_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import unittest
 from typing import Any
 
@@ -12,6 +13,7 @@
 PARKS, ROADS = "key-parks", "key-roads"
 KEYS = {"parks": [PARKS], "roads": [ROADS]}
 ROUTES = [route_of("open", OPEN, public=True), route_of("jobs", JOBS)]
+PAUSE_S = 2.0  # longer than the configuration counts as confirmed
 RUN_MS = 30000  # longer than a test
 JOB: dict[str, Any] = {
     "task_spec": json.dumps([{"ms": RUN_MS, "cpu": 100}]),
@@ -107,5 +109,42 @@
         )
 
 
+    # Guards against a VM that answers by a configuration from before it was paused: a new key
+    # counted as unknown there, which is final for its caller.
+    async def test_woken_vm_reads_the_configuration_before_it_refuses_a_key(self) -> None:
+        for number, prefix in enumerate((OPEN, JOBS)):
+            with self.subTest(prefix):
+                await self.check_new_key_at_woken_vm(3 + number, prefix + f"{7 + number:016x}")
+
+    async def check_new_key_at_woken_vm(self, version: int, path: str) -> None:
+        vm = next(vm for vm in self.platform.vms if vm is not self.platform.holder())
+        key = f"key-{version}"
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        self.configure(version, ROUTES, {"parks": [PARKS, key], "roads": [ROADS]})
+        call = asyncio.create_task(self.status(vm, "POST", path, key))
+        await asyncio.sleep(0.2)
+        vm.send(signal.SIGCONT)
+        self.assertEqual(await call, 200)
+        for other in self.platform.vms:
+            await until(lambda vm=other: self.has_routes(vm, version), f"{other.name} has the routes")
+            self.assertEqual(await self.status(other, "GET", path, key), 200)
+
+    # Guards against a final refusal by a VM that cannot tell whether its configuration is the
+    # newest, as the store does not answer it.
+    async def test_vm_without_the_store_refuses_no_key_for_good(self) -> None:
+        vm = next(vm for vm in self.platform.vms if vm is not self.platform.holder())
+        self.platform.store.faults[vm.name] = "refuse"
+        await asyncio.sleep(PAUSE_S)
+        self.assertEqual(await self.status(vm, "POST", JOBS + f"{9:016x}", "key-of-nobody"), 503)
+        self.assertEqual(await self.status(vm, "POST", JOBS + f"{9:016x}", PARKS), 200)
+        self.platform.store.faults.clear()
+
+        async def is_refused() -> bool:
+            return await self.status(vm, "GET", JOBS + f"{9:016x}", "key-of-nobody") == 401
+
+        await until(is_refused, "the key is refused for good", 3)
+
+
 if __name__ == "__main__":
     testing.main()
