LibEntry: Refuse an unknown key on a public queue

What callers saw: on a public queue a call with a key that no configuration ever held was served, and its job ran (rule ROUTE; PROTOCOL.md: "A call with an unknown key receives a 401 response").

Cause: ClientRequestHandler::Admit() took an unknown key on a public queue for no key, as the claim says.

Now only a call without a key is served there without an account.

--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -101,7 +101,7 @@
   const auto account = routes_.accounts.find(call.token);
   if (account != routes_.accounts.end()) {
     admitted.account = account->second;
-  } else if (!admitted.route->is_public) {
+  } else if (!call.token.empty() || !admitted.route->is_public) {
     return reason.Fail(ErrorKind::kBadToken, "", "The token is not known.");
   }
   admitted.job = call.path.substr(admitted.route->path_prefix.size());
--- a/Tests/LibEntry/client_request_handler_test.cc
+++ b/Tests/LibEntry/client_request_handler_test.cc
@@ -99,7 +99,10 @@
       [](const std::string&) { return std::optional<std::int64_t>(7); }};
 };
 
-// Guards against a final refusal by routes from before a pause or an outage.
+// Guards against an accepted job whose caller counted as unknown, which was
+// hidden from it afterwards: on a public queue a key that the process did not
+// know yet counted as none. Guards also against a final refusal by routes from
+// before a pause.
 TEST_P(ClientRequestHandlerTest, RefusesForGoodByTheNewestRoutesOnly) {
   const auto answer = Call(GetParam());
   EXPECT_EQ(answer.reason.kind, GetParam().error) << answer.reason.message;
@@ -127,8 +130,20 @@
                  Knowledge::kNewest, ErrorKind::kNone},
         CallCase{"OpenWithKey", kSubmit, "/jobs/open/a", "old-key",
                  Knowledge::kNewest, ErrorKind::kNone},
+        CallCase{"OpenWithUnknownKey", kSubmit, "/jobs/open/a", "new-key",
+                 Knowledge::kNewest, ErrorKind::kBadToken},
+        CallCase{"ReadOpenWithUnknownKey", kRead, "/jobs/open/a", "new-key",
+                 Knowledge::kNewest, ErrorKind::kBadToken},
+        CallCase{"CancelOpenWithUnknownKey", kCancel, "/jobs/open/a", "new-key",
+                 Knowledge::kNewest, ErrorKind::kBadToken},
+        CallCase{"CountOpenWithUnknownKey", kRead, "/jobs/open/", "new-key",
+                 Knowledge::kNewest, ErrorKind::kBadToken},
         CallCase{"CountOpen", kRead, "/jobs/open/", "", Knowledge::kNewest,
                  ErrorKind::kNone},
+        CallCase{"OpenWithNewKey", kSubmit, "/jobs/open/a", "new-key",
+                 Knowledge::kNewerInStore, ErrorKind::kNone},
+        CallCase{"OpenWithKeyOfAnUnknownVersion", kSubmit, "/jobs/open/a",
+                 "new-key", Knowledge::kUnconfirmed, ErrorKind::kNoEndpoint},
         CallCase{"PrivateWithoutKey", kSubmit, "/jobs/a", "",
                  Knowledge::kNewest, ErrorKind::kBadToken},
         CallCase{"PrivateWithNewKey", kSubmit, "/jobs/a", "new-key",
--- a/Tests/System/entry_access_test.py
+++ b/Tests/System/entry_access_test.py
@@ -109,6 +109,21 @@
         )
 
 
+    # Guards against calls by a key that no configuration holds: on a public queue it counted
+    # as none, and the job ran.
+    async def test_unknown_key_is_refused_on_a_public_queue(self) -> None:
+        job = f"{6:016x}"
+        await self.check(
+            (
+                ("POST", OPEN + job, "key-of-nobody", 401),
+                ("GET", OPEN + job, "key-of-nobody", 401),
+                ("DELETE", OPEN + job, "key-of-nobody", 401),
+                ("GET", OPEN, "key-of-nobody", 401),
+                ("GET", OPEN, None, 200),
+                ("GET", OPEN + job, None, 410),
+            )
+        )
+
     # Guards against a VM that answers by a configuration from before it was paused: a new key
     # counted as unknown there, which is final for its caller.
     async def test_woken_vm_reads_the_configuration_before_it_refuses_a_key(self) -> None:
