LibEntry: Give a call without a key no account

Cause: the missing key was looked up like any other. Now a call without one has no account, and the refusal says that the call has no token.

Evidence: with such an account in the routes, ClientRequestHandlerTest PrivateWithoutKey failed before the change (served) and passes now (401).

--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -98,10 +98,14 @@
   if (admitted.route == nullptr) {
     return reason.Fail(ErrorKind::kNotFound, "path", "There is no such queue.");
   }
-  const auto account = routes_.accounts.find(call.token);
-  if (account != routes_.accounts.end()) {
+  if (call.token.empty()) {
+    if (!admitted.route->is_public) {
+      return reason.Fail(ErrorKind::kBadToken, "", "The call has no token.");
+    }
+  } else if (const auto account = routes_.accounts.find(call.token);
+             account != routes_.accounts.end()) {
     admitted.account = account->second;
-  } else if (!call.token.empty() || !admitted.route->is_public) {
+  } else {
     return reason.Fail(ErrorKind::kBadToken, "", "The token is not known.");
   }
   admitted.job = call.path.substr(admitted.route->path_prefix.size());
--- a/Tests/LibEntry/client_request_handler_test.cc
+++ b/Tests/LibEntry/client_request_handler_test.cc
@@ -41,7 +41,8 @@
     routes.version = version;
     routes.routes = {{"jobs", "h", "/jobs/", false, {}},
                      {"open", "h", "/jobs/open/", true, {}}};
-    routes.accounts = {{"old-key", "parks"}};
+    // A call without a key must not act as the account with the empty one.
+    routes.accounts = {{"old-key", "parks"}, {"", "roads"}};
     if (version > 1) {
       routes.routes.push_back({"added", "h", "/jobs/added/", false, {}});
       routes.accounts["new-key"] = "parks";
