LibDispatch: Take no run for gone by an answer without room for all ends

Cause: a worker lists 500 ends in one answer, and the others once these are acknowledged. WorkerSession::ApplyReportedRuns() took a run that was neither among the running ones nor among the ends for one that had vanished, and its task was placed anew. The claim names the place; runs that are adopted, that are being stopped or whose start was refused as superseded were judged there too.

Now the adapter, which knows the limit, says whether an answer lists all ends. If not, absence proves nothing: the listed ends are handled and acknowledged as before, the other runs keep their capacity, and the next answer shows how they have ended. Such a run is over, so it does not count as evidence when its worker crashes. A full answer of which no row can be read counts as none, as nothing in it could ever be acknowledged.

Why it works: ends are numbered and come in order, so each acknowledged answer brings the next; an answer with room to spare is whole. A worker that is lost with unread ends is judged as before, by its next life or its leases.

--- a/Libraries/LibDispatch/dispatcher_crashes.cc
+++ b/Libraries/LibDispatch/dispatcher_crashes.cc
@@ -35,13 +35,13 @@
                                    ClockReading now) -> void {
   std::vector<Run> runs;
   for (const auto& each : ended) {
-    if (each.worker_restarted && each.run.start_sent) {
+    if (each.worker_restarted && each.run.start_sent && !each.run.is_over) {
       runs.push_back(each.run);
     }
   }
   const auto& session = sessions_.at(worker);
   for (const auto& [task, run] : session.runs()) {
-    if (run.is_of_former_life) {
+    if (run.is_of_former_life && !run.is_over) {
       runs.push_back(run);
     }
   }
--- a/Libraries/LibDispatch/run.h
+++ b/Libraries/LibDispatch/run.h
@@ -52,6 +52,8 @@
   bool adopted = false;
   /// It may have begun in a former life of its worker, which crashed.
   bool is_of_former_life = false;
+  /// It runs no more, and no answer had room for its end yet.
+  bool is_over = false;
   bool call_in_flight = false;
   core::Millis next_call_at = 0;
   /// When the run began or, if it was adopted, was first listed.
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -38,8 +38,8 @@
 ///
 /// Does no I/O: TakeCalls() returns calls, and the On...() functions handle
 /// their results. A run is considered gone only if the worker reported its end,
-/// if a poll sent after a confirmed start or stop does not list it, or if its
-/// lease has expired on the slowest clock allowed.
+/// if a poll sent after a confirmed start or stop lists all ends and not the
+/// run, or if its lease has expired on the slowest clock allowed.
 class WorkerSession {
  public:
   /// @param former_leases when all leases of former holders have expired.
--- a/Libraries/LibDispatch/worker_session_poll.cc
+++ b/Libraries/LibDispatch/worker_session_poll.cc
@@ -128,11 +128,20 @@
     }
   }
   std::vector<TaskId> absent;
-  for (const auto& [task, run] : runs_) {
-    if (!listed.contains(task) && ProvesAbsence(run, sent_at)) {
+  for (auto& [task, run] : runs_) {
+    if (listed.contains(task) || !ProvesAbsence(run, sent_at)) {
+      continue;
+    }
+    if (report.has_all_ends) {
       absent.push_back(task);
+    } else {
+      // A later answer shows how it has ended.
+      run.is_over = true;
     }
   }
+  if (!report.has_all_ends) {
+    return;
+  }
   for (const auto& task : absent) {
     gone.push_back(RemoveRun(task, RunEnd::kLost));
   }
--- a/Tests/LibDispatch/dispatcher_random_test.cc
+++ b/Tests/LibDispatch/dispatcher_random_test.cc
@@ -19,6 +19,8 @@
   /// Workers whose runs fail and take time to stop, steps with checkpoints, and
   /// jobs that are withdrawn while the store is unavailable.
   bool failures;
+  /// Most ends that a worker lists in one answer.
+  std::size_t listed_ends = 500;
 };
 
 /// Runs fifteen jobs under random faults; the simulation checks the invariants
@@ -42,6 +44,7 @@
   simulation.AddWorkers(12, 4);
   for (auto& [id, worker] : simulation.workers) {
     worker.set_stop_grace(kind.failures ? 150 : 0);
+    worker.set_max_listed_ends(kind.listed_ends);
   }
   simulation.faults.lost = pick(0, 2) * 0.1;
   simulation.faults.delayed = pick(0, 2) * 0.05;
@@ -111,6 +114,9 @@
 
 constexpr HistoryKind kPlain = {"Plain", false};
 constexpr HistoryKind kFailures = {"Failures", true};
+/// Answers of workers have room for one end, or for two.
+constexpr HistoryKind kOneEnd = {"OneEnd", false, 1};
+constexpr HistoryKind kTwoEnds = {"TwoEnds", true, 2};
 
 RC_GTEST_PROP(DispatcherRandom, KeepsItsInvariantsUnderFaults, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -140,6 +146,17 @@
                                   std::to_string(std::get<1>(info.param));
                          });
 
+// Guards against tasks that run again after their ends, because the answers of
+// their workers had no room for these.
+INSTANTIATE_TEST_SUITE_P(EndsCutShort,
+                         DispatcherSeeds,
+                         testing::Combine(testing::Values(kOneEnd, kTwoEnds),
+                                          testing::Range(0U, 300U)),
+                         [](const auto& info) {
+                           return std::string(std::get<0>(info.param).name) +
+                                  std::to_string(std::get<1>(info.param));
+                         });
+
 // Found by 1,500 random histories each.
 INSTANTIATE_TEST_SUITE_P(
     FoundByRandomHistories,
--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -64,6 +64,10 @@
   auto set_stop_grace(core::Millis grace) -> void { stop_grace_ms_ = grace; }
   auto set_speed(double speed) -> void { speed_ = speed; }
   [[nodiscard]] auto speed() const -> double { return speed_; }
+  /// Limits the ends in one answer.
+  auto set_max_listed_ends(std::size_t ends) -> void {
+    max_listed_ends_ = ends;
+  }
   /// Sets the speed of the worker's clock; at least 0.98 by the contract.
   auto set_clock_rate(double rate) -> void { clock_rate_ = rate; }
 
@@ -196,7 +200,10 @@
                            static_cast<double>(run.work.run_ms);
       report.running.push_back({task, run.attempt, CheckpointOf(run), percent});
     }
-    report.ended.assign(ended_.begin(), ended_.end());
+    const auto listed = std::min(ended_.size(), max_listed_ends_);
+    report.ended.assign(ended_.begin(),
+                        ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+    report.has_all_ends = listed < max_listed_ends_;
     result.report = report;
     return result;
   }
@@ -304,6 +311,7 @@
   double speed_ = 1;
   double clock_rate_ = 1;
   core::Millis stop_grace_ms_ = 0;
+  std::size_t max_listed_ends_ = 500;
   bool fails_ = false;
   bool fails_at_once_ = false;
   bool refuses_starts_ = false;
--- a/Tests/Platform/odd_answer_test.cc
+++ b/Tests/Platform/odd_answer_test.cc
@@ -160,6 +160,49 @@
                 R"([2,"a.0.0.3",9223372036854775808,"done",""])"}),
     [](const auto& info) { return info.param.name; });
 
+struct EndsCase {
+  std::string name;
+  /// Rows that can be read, and odd ones after them.
+  int rows;
+  int odd_rows;
+  bool has_report;
+  bool has_all_ends;
+};
+
+class WorkerEndsTest : public testing::TestWithParam<EndsCase> {};
+
+// Guards against a task that runs again after its end, because an answer with
+// 500 ends, which is all that one has room for, was taken for a list of all.
+// One of which nothing can be acknowledged would come again for ever.
+TEST_P(WorkerEndsTest, AreAllThereIfTheAnswerHasRoomForMore) {
+  auto ends = core::Json::array();
+  for (int number = 1; number <= GetParam().rows; ++number) {
+    ends.push_back({number, "a.0.0." + std::to_string(number), 1, "done", ""});
+  }
+  for (int number = 0; number < GetParam().odd_rows; ++number) {
+    ends.push_back("odd");
+  }
+  const auto report = DecodePollReport({{"clock_ms", 5},
+                                        {"running", core::Json::array()},
+                                        {"ended_runs", ends}});
+  ASSERT_EQ(report.has_value(), GetParam().has_report);
+  if (report) {
+    EXPECT_EQ(report->has_all_ends, GetParam().has_all_ends);
+    EXPECT_EQ(report->ended.size(), GetParam().rows);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lists,
+    WorkerEndsTest,
+    testing::Values(EndsCase{"none", 0, 0, true, true},
+                    EndsCase{"room_for_one", 499, 0, true, true},
+                    EndsCase{"full", 500, 0, true, false},
+                    EndsCase{"full_with_odd_rows", 1, 499, true, false},
+                    EndsCase{"odd_rows_only", 0, 500, false, false},
+                    EndsCase{"some_odd_rows_only", 0, 499, true, true}),
+    [](const auto& info) { return info.param.name; });
+
 struct ProgressCase {
   std::string name;
   std::string percent;
