platform: Take an answer without one of its lists for none

Each run on that worker was then taken for gone and its task started elsewhere, while it went on there.

Cause: DecodeRows() read a missing list as an empty one. PROTOCOL.md has the worker return both lists, so an answer without them is malformed; it counts now as no answer, like one without the clock.

Evidence: five cases of OddWorkerAnswerTest (no list, either list missing, null, an object) failed before the change and pass now.

--- a/Tests/Platform/odd_answer_test.cc
+++ b/Tests/Platform/odd_answer_test.cc
@@ -63,7 +63,8 @@
                             public testing::WithParamInterface<AnswerCase> {};
 
 // One worker with an odd answer must not end the process that calls it, nor
-// every later one.
+// every later one. An answer without one of its lists must not be taken for one
+// that lists nothing: all that runs there would be started elsewhere.
 TEST_P(OddWorkerAnswerTest, IsNoProofOfAnything) {
   const auto result = SendPoll(GetParam().status, GetParam().body);
   EXPECT_EQ(result.end, GetParam().end);
@@ -75,8 +76,21 @@
     Answers,
     OddWorkerAnswerTest,
     testing::Values(
-        AnswerCase{"good", 200, R"({"clock_ms":5})", dispatch::CallEnd::kDone,
-                   true, true},
+        AnswerCase{"good", 200,
+                   R"({"clock_ms":5,"running":[],"ended_runs":[]})",
+                   dispatch::CallEnd::kDone, true, true},
+        AnswerCase{"no_lists", 200, R"({"clock_ms":5})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"no_runs", 200, R"({"clock_ms":5,"ended_runs":[]})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"no_ends", 200, R"({"clock_ms":5,"running":[]})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"runs_null", 200,
+                   R"({"clock_ms":5,"running":null,"ended_runs":[]})",
+                   dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"ends_object", 200,
+                   R"({"clock_ms":5,"running":[],"ended_runs":{}})",
+                   dispatch::CallEnd::kDone, false, true},
         AnswerCase{"reason_number", 409, R"({"clock_ms":5,"reason":7})",
                    dispatch::CallEnd::kUnknown, false, true},
         AnswerCase{"reason_unknown", 409, R"({"clock_ms":5,"reason":"odd"})",
@@ -84,29 +98,41 @@
         AnswerCase{"reason_deep", 409, "{\"reason\":" + DeeplyNested() + "}",
                    dispatch::CallEnd::kUnknown},
         AnswerCase{"empty", 200, "", dispatch::CallEnd::kDone},
-        AnswerCase{"not_utf8", 200, "{\"clock_ms\":5,\"a\":\"\xff\"}",
+        AnswerCase{
+            "not_utf8", 200,
+            "{\"clock_ms\":5,\"running\":[],\"ended_runs\":[],\"a\":\"\xff\"}",
+            dispatch::CallEnd::kDone},
+        AnswerCase{"clock_text", 200,
+                   R"({"clock_ms":"5","running":[],"ended_runs":[]})",
                    dispatch::CallEnd::kDone},
-        AnswerCase{"clock_text", 200, R"({"clock_ms":"5"})",
+        AnswerCase{"clock_negative", 200,
+                   R"({"clock_ms":-1,"running":[],"ended_runs":[]})",
                    dispatch::CallEnd::kDone},
-        AnswerCase{"clock_negative", 200, R"({"clock_ms":-1})",
+        AnswerCase{"clock_1e300", 200,
+                   R"({"clock_ms":1e300,"running":[],"ended_runs":[]})",
                    dispatch::CallEnd::kDone},
-        AnswerCase{"clock_1e300", 200, R"({"clock_ms":1e300})",
-                   dispatch::CallEnd::kDone},
-        AnswerCase{"clock_2_63_less_1", 200,
-                   R"({"clock_ms":9223372036854775807})",
-                   dispatch::CallEnd::kDone},
-        AnswerCase{"clock_2_63", 200, R"({"clock_ms":9223372036854775808})",
-                   dispatch::CallEnd::kDone},
-        AnswerCase{"born_2_63", 200,
-                   R"({"clock_ms":5,"born":9223372036854775808})",
-                   dispatch::CallEnd::kDone, false, true},
-        AnswerCase{"born_negative", 200, R"({"clock_ms":5,"born":-1})",
+        AnswerCase{
+            "clock_2_63_less_1", 200,
+            R"({"clock_ms":9223372036854775807,"running":[],"ended_runs":[]})",
+            dispatch::CallEnd::kDone},
+        AnswerCase{
+            "clock_2_63", 200,
+            R"({"clock_ms":9223372036854775808,"running":[],"ended_runs":[]})",
+            dispatch::CallEnd::kDone},
+        AnswerCase{
+            "born_2_63", 200,
+            R"({"clock_ms":5,"born":9223372036854775808,"running":[],"ended_runs":[]})",
+            dispatch::CallEnd::kDone, false, true},
+        AnswerCase{"born_negative", 200,
+                   R"({"clock_ms":5,"born":-1,"running":[],"ended_runs":[]})",
                    dispatch::CallEnd::kDone, false, true},
         AnswerCase{"row_deep", 200,
-                   R"({"clock_ms":5,"running":[)" + DeeplyNested() + "]}",
+                   R"({"clock_ms":5,"ended_runs":[],"running":[)" +
+                       DeeplyNested() + "]}",
                    dispatch::CallEnd::kDone},
         AnswerCase{"rows_deep", 200,
-                   R"({"clock_ms":5,"ended_runs":)" + DeeplyNested() + "}",
+                   R"({"clock_ms":5,"running":[],"ended_runs":)" +
+                       DeeplyNested() + "}",
                    dispatch::CallEnd::kDone}),
     [](const auto& info) { return info.param.name; });
 
@@ -216,7 +242,7 @@
 TEST_P(WorkerProgressTest, IsLimitedAndItsRunStaysListed) {
   const auto report = DecodePollReport(
       core::Json::parse(R"({"clock_ms":5,"running":[["a.0.0.1",1,"",)" +
-                        GetParam().percent + "]]}"));
+                        GetParam().percent + "]],\"ended_runs\":[]}"));
   ASSERT_TRUE(report);
   ASSERT_EQ(report->running.size(), 1U);
   EXPECT_EQ(report->running[0].percent, GetParam().read);
