LibEntry: Take no part of a table of the store for the whole

Cause: StateReader and TableFollower followed `truncated` only if the page had brought a new key, and else took what they had for all there is.

Now such a page counts as a failed read: it is read again, and a process that cannot read the state within four seconds leaves the term to others, as before.

Evidence: StateReaderTest.RepeatsAPageThatIsNeitherReadableNorTheLast, EndsWithoutRowsIfAPageStaysUnreadable and TableFollower.PassesNoPartOfATableOnAsTheWhole failed before the change and pass now.

--- a/Libraries/LibEntry/state_reader.cc
+++ b/Libraries/LibEntry/state_reader.cc
@@ -43,7 +43,7 @@
 auto StateReader::OnPage(const std::shared_ptr<State>& state,
                          const std::string& after,
                          platform::TableReadResult read) -> void {
-  if (!read.answered) {
+  if (!read.answered || read.IsStuckAfter(after)) {
     OnFailedRead(state, after);
     return;
   }
@@ -57,7 +57,7 @@
   const auto last_key = read.rows.empty() ? after : read.rows.back().key;
   std::move(read.rows.begin(), read.rows.end(),
             std::back_inserter(state->rows));
-  if (read.truncated && last_key != after) {
+  if (read.truncated) {
     Read(state, last_key);
     return;
   }
--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -69,7 +69,7 @@
                            core::Millis sent_at,
                            platform::TableReadResult read) -> void {
   state->is_store_away = !read.answered;
-  if (!read.answered) {
+  if (!read.answered || read.IsStuckAfter(after)) {
     Retry(state, true);
     return;
   }
@@ -83,7 +83,7 @@
   const auto last_key = read.rows.empty() ? after : read.rows.back().key;
   std::move(read.rows.begin(), read.rows.end(),
             std::back_inserter(state->pages));
-  if (read.truncated && last_key != after) {
+  if (read.truncated) {
     ReadWhole(state, last_key);
     return;
   }
--- a/Libraries/LibPlatform/keyed_store.h
+++ b/Libraries/LibPlatform/keyed_store.h
@@ -57,6 +57,12 @@
   std::int64_t end_offset = 0;
   /// More keys follow the last one; set by ReadNewest() only.
   bool truncated = false;
+
+  /// @param after last key of the page before.
+  /// @return whether more keys follow, and no row of this page tells which.
+  [[nodiscard]] auto IsStuckAfter(const std::string& after) const -> bool {
+    return truncated && (rows.empty() || rows.back().key == after);
+  }
 };
 
 /// The platform's store, as a log of keyed rows with one partition per table.
--- a/Tests/LibEntry/fake_store.h
+++ b/Tests/LibEntry/fake_store.h
@@ -66,6 +66,11 @@
       read.rows.assign(log.begin(), log.end());
       read.end_offset = static_cast<std::int64_t>(log.size());
     }
+    if (unreadable_pages > 0) {
+      --unreadable_pages;
+      read.rows.clear();
+      read.truncated = true;
+    }
     loop_.After(1, [done, read] { done(read); });
   }
 
@@ -103,6 +108,9 @@
   bool delay_reads = false;
   /// Reads of more than the term's row fail.
   bool refuse_state_reads = false;
+  /// The next pages of newest rows have none that can be read, and are not the
+  /// last ones.
+  int unreadable_pages = 0;
   /// Maximum number of rows in one answer.
   std::size_t page_rows = 500;
   /// The same for a read of changes.
--- a/Tests/LibEntry/state_reader_test.cc
+++ b/Tests/LibEntry/state_reader_test.cc
@@ -48,6 +48,25 @@
   EXPECT_EQ(reader_.StoreOutageMs(), 0);
 }
 
+// Guards against jobs that are lost: a page of which no row could be read ended
+// the list, though more were to follow, and the rest was taken for all there
+// is.
+TEST_F(StateReaderTest, RepeatsAPageThatIsNeitherReadableNorTheLast) {
+  store_.unreadable_pages = 3;
+  reader_.Start();
+  loop_.Run();
+  ASSERT_TRUE(rows_);
+  EXPECT_EQ(rows_->size(), 1200U);
+}
+
+// If it stays so, another process may read the state.
+TEST_F(StateReaderTest, EndsWithoutRowsIfAPageStaysUnreadable) {
+  store_.unreadable_pages = 1000000;
+  reader_.Start();
+  loop_.Run();
+  EXPECT_FALSE(rows_);
+}
+
 // Pages of two terms would be mixed.
 TEST_F(StateReaderTest, EndsWithoutRowsIfALaterTermBegins) {
   loop_.After(1, [this] { ++store_.end_offset; });
--- a/Tests/LibEntry/table_follower_test.cc
+++ b/Tests/LibEntry/table_follower_test.cc
@@ -134,5 +134,24 @@
                                          ReadNowCase{"change", 100, true}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against workers that count as gone, as their listings stood behind a
+// page of which no row could be read.
+TEST(TableFollower, PassesNoPartOfATableOnAsTheWhole) {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.tables[platform::Table::kFleet] = {{"a", "1"}, {"b", "1"}};
+  store.unreadable_pages = 2;
+  std::vector<RowBatch> batches;
+  const TableFollower follower(
+      loop, store, {platform::Table::kFleet, 0, 2},
+      [&](const RowBatch& batch) { batches.push_back(batch); });
+  while (batches.empty()) {
+    loop.After(5, [&loop] { loop.Stop(); });
+    loop.Run();
+  }
+  EXPECT_TRUE(batches[0].whole);
+  EXPECT_EQ(batches[0].rows.size(), 2U);
+}
+
 }  // namespace
 }  // namespace kcm::entry
