LibEntry: Read the configuration after a pause before calls are served

Cause: calls that the routes at hand allow were served whatever their age.

Now a process that had no tick for 600 ms holds all calls until a read of the configuration that was sent since has ended, a round trip to the store. After 500 ms without one it serves them as before, since in an outage of the store all VMs go on with what they have.

PausedProcessTest shows when the doubt begins and ends.

--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -175,16 +175,17 @@
     Finish(call, "", started_at, Refusal(reason), done);
     return;
   }
-  if (const auto admitted = Admit(call, reason)) {
+  const auto admitted = Admit(call, reason);
+  if (admitted && !confirmation_.IsDoubtful()) {
     Serve(call, *admitted, started_at, done);
     return;
   }
-  RefuseOnceConfirmed(call, started_at, done);
+  JudgeOnceConfirmed(call, started_at, done);
 }
 
-auto ClientRequestHandler::RefuseOnceConfirmed(const ClientCall& call,
-                                               Millis started_at,
-                                               const Done& done) -> void {
+auto ClientRequestHandler::JudgeOnceConfirmed(const ClientCall& call,
+                                              Millis started_at,
+                                              const Done& done) -> void {
   const auto max_wait =
       std::max(TimeoutOf(call) - kAnswerReserveMs, kAnswerReserveMs);
   confirmation_.Await(max_wait, [this, call, started_at,
--- a/Libraries/LibEntry/client_request_handler.h
+++ b/Libraries/LibEntry/client_request_handler.h
@@ -14,7 +14,8 @@
 
 /// Checks client calls against the routes in force and forwards them to the
 /// term holder. A call that these do not allow is refused for good only if they
-/// are known to be the newest.
+/// are known to be the newest, and right after a pause of this process no call
+/// is judged by the routes from before it while the store answers.
 class ClientRequestHandler {
  public:
   using Done = std::function<void(ClientAnswer)>;
@@ -60,11 +61,11 @@
   ///     rests on the routes.
   auto Admit(const ClientCall& call, core::Reason& reason) const
       -> std::optional<Admitted>;
-  /// Refuses a call that the routes do not allow, or serves it after all if a
-  /// newer version does.
-  auto RefuseOnceConfirmed(const ClientCall& call,
-                           core::Millis started_at,
-                           const Done& done) -> void;
+  /// Serves or refuses a call once the routes are confirmed, by the newest; if
+  /// they are not in time, by those at hand, and never for good.
+  auto JudgeOnceConfirmed(const ClientCall& call,
+                          core::Millis started_at,
+                          const Done& done) -> void;
   auto Serve(const ClientCall& call,
              const Admitted& admitted,
              core::Millis started_at,
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -185,6 +185,7 @@
 
 auto EntryService::RunDueWork() -> void {
   const auto now = core::SuspendAwareNow();
+  routes_confirmation_.CheckPause();
   load_reporter_.RecordTick(now, kTickMs);
   if (const auto holder = holder_) {
     if (peers_.holder_view().epoch > holder->term().epoch) {
--- a/Libraries/LibEntry/routes_confirmation.cc
+++ b/Libraries/LibEntry/routes_confirmation.cc
@@ -12,6 +12,9 @@
 /// The store ends a read of the configuration after a second at the latest, and
 /// at once when there is a newer version.
 constexpr Millis kMaxAgeMs = 1500;
+/// A process without a tick for this long, many times their interval, was
+/// paused.
+constexpr Millis kPauseMs = 600;
 /// Longest wait for a read: some round trips between regions.
 constexpr Millis kMaxWaitMs = 500;
 /// The same while the store does not answer, as it may not for seconds.
@@ -29,7 +32,20 @@
 
 auto RoutesConfirmation::IsRecent() const -> bool {
   const auto age = AgeMs();
-  return age && *age <= kMaxAgeMs;
+  return age && *age <= kMaxAgeMs && age_().current_as_of >= resumed_at_;
+}
+
+auto RoutesConfirmation::CheckPause() -> void {
+  const auto now = core::SuspendAwareNow();
+  if (now - std::exchange(last_event_at_, now) > kPauseMs) {
+    resumed_at_ = now;
+  }
+}
+
+auto RoutesConfirmation::IsDoubtful() -> bool {
+  CheckPause();
+  return resumed_at_ > 0 && age_().current_as_of < resumed_at_ &&
+         core::SuspendAwareNow() < resumed_at_ + kMaxWaitMs;
 }
 
 auto RoutesConfirmation::Await(Millis max_wait, Done done) -> void {
--- a/Libraries/LibEntry/routes_confirmation.h
+++ b/Libraries/LibEntry/routes_confirmation.h
@@ -24,7 +24,8 @@
 ///
 /// A refusal that rests on the routes is final for its caller, so it needs a
 /// confirmation: a process that was paused, or that the store does not answer,
-/// may lack a version by which the call is allowed.
+/// may lack a version by which the call is allowed. After a pause any call
+/// needs one, for a short time: a version that the process lacks may forbid it.
 class RoutesConfirmation {
  public:
   using Done = std::function<void(bool confirmed)>;
@@ -42,6 +43,13 @@
   ///     else after a read or, without one in time, with false.
   auto Await(core::Millis max_wait, Done done) -> void;
 
+  /// Notices a pause of this process; called by each of its ticks.
+  auto CheckPause() -> void;
+
+  /// @return whether this process was paused a moment ago and has not read the
+  ///     configuration since.
+  [[nodiscard]] auto IsDoubtful() -> bool;
+
   /// The store has answered a read of the configuration, whose rows are
   /// applied.
   auto OnRead() -> void;
@@ -55,6 +63,9 @@
   net::EventLoop& loop_;
   std::function<RoutesAge()> age_;
   std::function<void()> read_now_;
+  core::Millis last_event_at_ = core::SuspendAwareNow();
+  /// When the newest pause was noticed; zero for none.
+  core::Millis resumed_at_ = 0;
   std::int64_t next_waiter_ = 0;
   std::map<std::int64_t, Done> waiters_;
 };
--- a/Tests/LibEntry/routes_confirmation_test.cc
+++ b/Tests/LibEntry/routes_confirmation_test.cc
@@ -88,5 +88,59 @@
                          50, false, 45, 200}),
     [](const auto& info) { return info.param.name; });
 
+struct PauseCase {
+  const char* name;
+  core::Millis pause_ms;
+  /// Time from the pause until the configuration is read; nothing for never.
+  std::optional<core::Millis> read_ms;
+  /// Whether calls are judged by what was known before the pause: when it ends,
+  /// and 300 ms and 600 ms later.
+  bool is_doubtful;
+  bool is_doubtful_later;
+  bool is_doubtful_at_last;
+};
+
+class PausedProcessTest : public testing::TestWithParam<PauseCase> {};
+
+// Guards against a process that acts by a configuration from before a pause,
+// and against one that serves nobody as long as the store is away.
+TEST_P(PausedProcessTest, DoubtsItsRoutesUntilItHasReadThem) {
+  net::EventLoop loop;
+  RoutesAge age{core::SuspendAwareNow(), false};
+  RoutesConfirmation confirmation(
+      loop, [&] { return age; }, [] {});
+  loop.Every(20, [&] { confirmation.CheckPause(); });
+  const auto run_for = [&](core::Millis span) {
+    loop.After(span, [&loop] { loop.Stop(); });
+    loop.Run();
+  };
+  run_for(100);
+  EXPECT_FALSE(confirmation.IsDoubtful());
+  // The loop handles nothing meanwhile.
+  for (const auto end = core::SuspendAwareNow() + GetParam().pause_ms;
+       core::SuspendAwareNow() < end;) {
+  }
+  EXPECT_EQ(confirmation.IsDoubtful(), GetParam().is_doubtful);
+  if (GetParam().read_ms) {
+    loop.After(*GetParam().read_ms, [&, sent_at = core::SuspendAwareNow()] {
+      age.current_as_of = sent_at;
+      confirmation.OnRead();
+    });
+  }
+  run_for(300);
+  EXPECT_EQ(confirmation.IsDoubtful(), GetParam().is_doubtful_later);
+  run_for(300);
+  EXPECT_EQ(confirmation.IsDoubtful(), GetParam().is_doubtful_at_last);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Pauses,
+    PausedProcessTest,
+    testing::Values(PauseCase{"NoPause", 50, std::nullopt, false, false, false},
+                    PauseCase{"Read", 800, 20, true, false, false},
+                    PauseCase{"StoreAway", 800, std::nullopt, true, true,
+                              false}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::entry
--- a/Tests/System/entry_access_test.py
+++ b/Tests/System/entry_access_test.py
@@ -145,6 +145,33 @@
             await until(lambda vm=other: self.has_routes(vm, version), f"{other.name} has the routes")
             self.assertEqual(await self.status(other, "GET", path, key), 200)
 
+    # Guards against work that runs by a permission from before a pause: a key that was withdrawn
+    # meanwhile, and a queue that is no longer public.
+    async def test_woken_vm_serves_no_call_by_the_configuration_from_before(self) -> None:
+        vm = next(vm for vm in self.platform.vms if vm is not self.platform.holder())
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        self.configure(3, [route_of("open", OPEN), route_of("jobs", JOBS)], {"roads": [ROADS]})
+        calls = [
+            asyncio.create_task(self.status(vm, "POST", path, key))
+            for path, key in ((JOBS + f"{10:016x}", PARKS), (OPEN + f"{11:016x}", None), (JOBS + f"{12:016x}", ROADS))
+        ]
+        await asyncio.sleep(0.2)
+        vm.send(signal.SIGCONT)
+        self.assertEqual(await asyncio.gather(*calls), [401, 401, 200])
+
+    # Guards against a VM that serves nobody while it waits for a store that is away.
+    async def test_woken_vm_without_the_store_serves_known_callers(self) -> None:
+        vm = next(vm for vm in self.platform.vms if vm is not self.platform.holder())
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        self.platform.store.faults[vm.name] = "silent"
+        call = asyncio.create_task(self.status(vm, "POST", JOBS + f"{13:016x}", PARKS))
+        await asyncio.sleep(0.2)
+        vm.send(signal.SIGCONT)
+        self.assertEqual(await call, 200)
+        self.assertEqual(await self.status(vm, "GET", JOBS + f"{13:016x}", PARKS), 200)
+
     # Guards against a final refusal by a VM that cannot tell whether its configuration is the
     # newest, as the store does not answer it.
     async def test_vm_without_the_store_refuses_no_key_for_good(self) -> None:
