--- a/Libraries/LibEntry/client_request_handler.cc
+++ b/Libraries/LibEntry/client_request_handler.cc
@@ -159,7 +159,7 @@
   done(answer);
 }
 
-auto ClientRequestHandler::HandleCall(const ClientCall& call, Done done)
+auto ClientRequestHandler::HandleCall(const ClientCall& call, const Done& done)
     -> void {
   const auto started_at = core::SuspendAwareNow();
   core::Reason reason;
--- a/Libraries/LibEntry/client_request_handler.h
+++ b/Libraries/LibEntry/client_request_handler.h
@@ -46,7 +46,7 @@
         pending_jobs_(std::move(pending_jobs)) {}
 
   /// @param done called once with the answer.
-  auto HandleCall(const ClientCall& call, Done done) -> void;
+  auto HandleCall(const ClientCall& call, const Done& done) -> void;
 
  private:
   /// A call that the routes allow.
