Tests: Copy the id of a run before it is erased

AddressSanitizer found a use after free in FakeWorker::End(), in all three parts of TestLibDispatch: callers pass the key of the run that it erases, and the next line used it again. Only the stand-in was at fault.

--- a/Tests/LibDispatch/fake_worker.h
+++ b/Tests/LibDispatch/fake_worker.h
@@ -266,8 +266,10 @@
     lapses_at_end_[number_] = lapses_;
     auto& closed = closed_[task];
     closed = std::max(closed, run.attempt);
-    runs_.erase(task);
-    used_.erase(task);
+    // The argument may be the key of the run.
+    const auto id = run.task;
+    runs_.erase(id);
+    used_.erase(id);
   }
 
  private:
