LibEntry: Let a tick own the holder that it works on

Cause: the tick that notices a newer term ends its own, which resets holder_ through a callback. If the report of each second was due in the same tick, CountPendingJobs() used the null pointer. A holder that resigned in its tick went the same way.

Now a function that works on the holder gets it as an argument, from the tick, which owns it until it ends. holder_ is reset in one place.

Why it works: a holder whose term has ended can still count its jobs; it only has to be there. Read for the same class: TermHolder, HolderClient, Dispatcher and LibNet's HTTP; nothing else uses a member after a call that may reset it.

--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -105,7 +105,7 @@
                if (holder_ != nullptr) {
                  self.is_holder = true;
                  self.store_outage_ms = holder_->StoreOutageMs();
-                 self.pending = CountPendingJobs();
+                 self.pending = CountPendingJobs(*holder_);
                }
                if (state_reader_ != nullptr) {
                  self.is_holder = true;
@@ -156,17 +156,17 @@
   if (holder_ == nullptr) {
     return peers_.PendingJobs(queue);
   }
-  const auto& pending = CountPendingJobs();
+  const auto& pending = CountPendingJobs(*holder_);
   const auto found = pending.find(queue);
   return found == pending.end() ? 0 : found->second;
 }
 
-auto EntryService::CountPendingJobs() const
+auto EntryService::CountPendingJobs(const TermHolder& holder) const
     -> const std::map<std::string, std::int64_t>& {
   const auto now = core::SuspendAwareNow();
   if (now >= count_pending_at_) {
     count_pending_at_ = now + kCountPendingMs;
-    pending_ = holder_->PendingByQueue();
+    pending_ = holder.PendingByQueue();
   }
   return pending_;
 }
@@ -188,20 +188,7 @@
   routes_confirmation_.CheckPause();
   load_reporter_.RecordTick(now, kTickMs);
   if (const auto holder = holder_) {
-    if (peers_.holder_view().epoch > holder->term().epoch) {
-      holder->StepDown();
-    }
-    holder->RunDueWork();
-    if (now >= next_handover_check_at_) {
-      next_handover_check_at_ = now + kHandoverCheckMs;
-      ResignToLargerPeer(now);
-    }
-    if (auto report =
-            load_reporter_.TakeReport(now, dependencies_.traffic.counts())) {
-      (*report)["epoch"] = holder->term().epoch;
-      (*report)["pending"] = CountPendingJobs();
-      core::LogEvent(core::Event::kHolderLoad, *report);
-    }
+    RunHolderWork(*holder, now);
   }
   if (now >= next_heartbeat_at_) {
     next_heartbeat_at_ = now + kHeartbeatMs;
@@ -231,6 +218,25 @@
   }
 }
 
+auto EntryService::RunHolderWork(TermHolder& holder, Millis now) -> void {
+  if (peers_.holder_view().epoch > holder.term().epoch) {
+    holder.StepDown();
+    return;
+  }
+  holder.RunDueWork();
+  if (now >= next_handover_check_at_) {
+    next_handover_check_at_ = now + kHandoverCheckMs;
+    ResignToLargerPeer(holder, now);
+  }
+  // Also of a holder whose term has ended in this tick.
+  if (auto report =
+          load_reporter_.TakeReport(now, dependencies_.traffic.counts())) {
+    (*report)["epoch"] = holder.term().epoch;
+    (*report)["pending"] = CountPendingJobs(holder);
+    core::LogEvent(core::Event::kHolderLoad, *report);
+  }
+}
+
 auto EntryService::ReadStoredTerm() -> void {
   const auto sent_at = core::SuspendAwareNow();
   dependencies_.store.ReadNewest(
@@ -325,8 +331,7 @@
     return;
   }
   peers_.OnTermEnded(holder_->term().epoch);
-  // The holder is still on the call stack.
-  dependencies_.loop.After(0, [lost = std::exchange(holder_, nullptr)] {});
+  ReleaseHolder();
 }
 
 auto EntryService::Drain() -> void {
@@ -334,7 +339,7 @@
   if (state_reader_ != nullptr) {
     AbandonRecovery();
   } else if (holder_ != nullptr) {
-    ResignTerm();
+    ResignTerm(*holder_);
   }
 }
 
@@ -349,30 +354,34 @@
              max_age_ms;
 }
 
-auto EntryService::ResignToLargerPeer(Millis now) -> void {
-  if (holder_ == nullptr || draining_ || holder_->StoreOutageMs() > 0 ||
+auto EntryService::ResignToLargerPeer(TermHolder& holder, Millis now) -> void {
+  const auto has_ended = holder_.get() != &holder;
+  if (has_ended || draining_ || holder.StoreOutageMs() > 0 ||
       !handover_policy_.ShouldResign(peers_.SelfAsCandidate(),
                                      peers_.LivePeers(), now - held_since_,
-                                     holder_->IsIdle(), now)) {
+                                     holder.IsIdle(), now)) {
     return;
   }
   handover_policy_.RecordResignation(now);
-  ResignTerm();
+  ResignTerm(holder);
 }
 
-auto EntryService::ResignTerm() -> void {
-  holder_->Resign([this] {
+auto EntryService::ResignTerm(TermHolder& holder) -> void {
+  holder.Resign([this, epoch = holder.term().epoch] {
     if (holder_ == nullptr) {
       return;
     }
-    core::LogEvent(core::Event::kTermResigned,
-                   {{"epoch", holder_->term().epoch}});
-    peers_.OnTermEnded(holder_->term().epoch);
-    dependencies_.loop.After(0, [ended = std::exchange(holder_, nullptr)] {});
+    core::LogEvent(core::Event::kTermResigned, {{"epoch", epoch}});
+    peers_.OnTermEnded(epoch);
+    ReleaseHolder();
     peers_.BroadcastHeartbeat();
   });
 }
 
+auto EntryService::ReleaseHolder() -> void {
+  dependencies_.loop.After(0, [ended = std::exchange(holder_, nullptr)] {});
+}
+
 auto EntryService::OnOperatorRows(const std::vector<dispatch::StateRow>& rows)
     -> void {
   for (const auto& row : rows) {
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -77,17 +77,22 @@
   EntryService(EntryDependencies dependencies, const EntrySettings& settings);
 
   auto RunDueWork() -> void;
+  /// Does what is due of the term. The holder outlives the call, also if the
+  /// term ends meanwhile.
+  auto RunHolderWork(TermHolder& holder, core::Millis now) -> void;
   auto SampleTraffic() const -> void;
   /// @return capacity for holding the term; zero if this process cannot.
   [[nodiscard]] auto CandidateCapacity() const -> double;
   /// @return whether the store has answered within this time.
   [[nodiscard]] auto StoreAnswered(core::Millis max_age_ms) const -> bool;
-  /// @return the number of jobs in phase kQueued, by queue, as of a moment ago;
-  ///     only for the holder.
-  [[nodiscard]] auto CountPendingJobs() const
+  /// @return the number of jobs in phase kQueued, by queue, as of a moment ago.
+  [[nodiscard]] auto CountPendingJobs(const TermHolder& holder) const
       -> const std::map<std::string, std::int64_t>&;
-  auto ResignToLargerPeer(core::Millis now) -> void;
-  auto ResignTerm() -> void;
+  auto ResignToLargerPeer(TermHolder& holder, core::Millis now) -> void;
+  auto ResignTerm(TermHolder& holder) -> void;
+  /// Holds the term no more. The holder, which may be on the call stack, is
+  /// destroyed afterwards.
+  auto ReleaseHolder() -> void;
   auto StartClaim(const ClaimPlan& plan) -> void;
   auto OnClaimed(ClaimResult result) -> void;
   auto OnStateRead(std::optional<std::vector<dispatch::StateRow>> rows) -> void;
@@ -108,6 +113,9 @@
   EntryDependencies dependencies_;
   EntrySettings settings_;
   RouteTable routes_;
+  /// Any call of the holder, or of the peers, may end the term and reset this.
+  /// A function that makes one and goes on with the holder takes it as an
+  /// argument.
   std::shared_ptr<TermHolder> holder_;
   /// Set while this process holds a term whose state it has not read yet.
   std::unique_ptr<StateReader> state_reader_;
--- a/Tests/LibEntry/entry_service_test.cc
+++ b/Tests/LibEntry/entry_service_test.cc
@@ -129,6 +129,46 @@
   EXPECT_EQ(StoredTerm().epoch, 2);
 }
 
+// Guards against a process that crashes as it loses its term: the tick in which
+// it noticed that went on to report the pending jobs of the holder that it had
+// just given up (review/4).
+TEST_F(EntryServiceTest, LosesTheTermInTheTickInWhichItsReportIsDue) {
+  auto* service = Start(0, 0.25);
+  ASSERT_TRUE(
+      RunUntil([&] { return service->PendingJobs("q").has_value(); }, 2000));
+  RunFor(100);
+  PeerHeartbeat heartbeat;
+  heartbeat.name = "p1";
+  heartbeat.address = AddressOf(1).ToString();
+  heartbeat.epoch = StoredTerm().epoch + 1;
+  heartbeat.holder = "p1";
+  heartbeat.holder_address = heartbeat.address;
+  heartbeat.is_holder = true;
+  heartbeat.hears_directly = true;
+  std::optional<PeerHeartbeat> answer;
+  const auto send_heartbeat = [&](core::Millis pause_ms) {
+    answer.reset();
+    http_.Send(AddressOf(0),
+               {"POST", kHeartbeatPath, {}, {}, core::Json(heartbeat).dump()},
+               1000, [&, pause_ms](const net::HttpResult& result) {
+                 core::Reason reason;
+                 answer = DecodeHeartbeat(result.response.body, reason);
+                 EXPECT_TRUE(answer) << reason.message;
+                 for (const auto end = core::SuspendAwareNow() + pause_ms;
+                      core::SuspendAwareNow() < end;) {
+                 }
+               });
+    return RunUntil([&] { return answer.has_value(); }, 1000);
+  };
+  // Nothing is handled until the report is due, and the pending jobs are to be
+  // counted anew.
+  ASSERT_TRUE(send_heartbeat(1100));
+  RunFor(100);
+  ASSERT_TRUE(send_heartbeat(0));
+  EXPECT_FALSE(answer->is_holder);
+  EXPECT_EQ(answer->epoch, heartbeat.epoch);
+}
+
 // Pattern: a takeover under load. The next holder reads the state for some 200
 // ms; callers were refused after 60 ms, told to come again after a second, and
 // saw results that were ready a second late.
