--- a/Libraries/LibEntry/job_access.h
+++ b/Libraries/LibEntry/job_access.h
@@ -25,10 +25,10 @@
 /// Decides whether a caller may see a job.
 ///
 /// A job belongs to the queue that it was submitted to, and on a queue that is
-/// not public also to the account of its caller. A public queue needs no token,
-/// so that one token must not see less there than none. A job that was
-/// submitted without a token has no account to keep it from others, also if its
-/// queue is no longer public.
+/// not public also to the account of its caller. On a public queue a call with
+/// a token sees no less than one without. A job that was submitted without a
+/// token is open to all callers of its queue, also once that is not public any
+/// more: nobody else could read it.
 [[nodiscard]] auto CheckJobAccess(const dispatch::JobOwner& owner,
                                   const JobCaller& caller) -> JobAccess;
 
--- a/Libraries/LibEntry/routes_confirmation.h
+++ b/Libraries/LibEntry/routes_confirmation.h
@@ -16,7 +16,8 @@
   /// When the newest read was sent that returned all versions; on the
   /// suspend-aware clock, zero if none has.
   core::Millis current_as_of = 0;
-  /// The newest read that has ended got no answer.
+  /// The newest read that has ended got no answer, so that a further one may
+  /// not either.
   bool is_store_away = false;
 };
 
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -62,7 +62,8 @@
   /// at once: an end that is not stored yet is reported as running. That a job
   /// does not exist, and any read after a pause of this process, is answered
   /// after an append that was sent later than the request, which a successor
-  /// would have fenced.
+  /// would have fenced. A job that the caller may not see, by CheckJobAccess(),
+  /// is answered as if there were none, and a submission of its id is refused.
   auto HandleRequest(const HolderRequest& request, const AnswerDone& done)
       -> void;
 
