Services/Entry: Log what a VM leaves unanswered as it exits

Callers of VMs that are restarted saw connections end without an answer. Three causes look alike in the logs: a call that was read and never answered, an answer that was handed over and never written, and a call that was never read. The line `drained` counts the first; a line of the call beside a count of zero tells the second from the third.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -22,6 +22,7 @@
     EventInfo{Event::kDraining, "draining", Severity::kInfo},
     EventInfo{Event::kStopped, "stopped", Severity::kInfo},
     EventInfo{Event::kBadMessage, "bad_message", Severity::kWarning},
+    EventInfo{Event::kDrained, "drained", Severity::kInfo},
     EventInfo{Event::kPeerSuspected, "peer_suspected", Severity::kWarning},
     EventInfo{Event::kPeerAlive, "peer_alive", Severity::kInfo},
     EventInfo{Event::kLogUnreachable, "log_unreachable", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -14,6 +14,7 @@
   kDraining = 101,
   kStopped = 102,
   kBadMessage = 103,
+  kDrained = 104,
   kPeerSuspected = 200,
   kPeerAlive = 201,
   kLogUnreachable = 210,
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -68,6 +68,10 @@
     return routes_confirmation_;
   }
   [[nodiscard]] auto holder_client() -> HolderClient& { return holder_client_; }
+  /// @return number of calls of other processes received and not yet answered.
+  [[nodiscard]] auto pending_peer_calls() const -> int {
+    return peer_server_->pending();
+  }
   /// @return number of jobs of a queue in phase kQueued; nothing if it is
   ///     unknown or outdated.
   [[nodiscard]] auto PendingJobs(const std::string& queue) const
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -159,6 +159,10 @@
   const auto min_drain = std::min(kMinDrainMs, max_drain);
   if (elapsed >= max_drain ||
       (elapsed >= min_drain && client_server_->pending() == 0)) {
+    core::LogEvent(core::Event::kDrained,
+                   {{"after_ms", elapsed},
+                    {"calls", client_server_->pending()},
+                    {"peer_calls", service_->pending_peer_calls()}});
     loop_.Stop();
     return;
   }
