LibNet: Count a request as pending until its answer is written

What callers saw: a VM that is restarted ends a connection without an answer, though it has the answer and logs it.

Cause: HttpServer counted a request as pending until its answer was handed to the HTTP library, which writes it in a later turn of the event loop. The check that ends a drained process runs in turns that also handle answers; where both fall into one turn the loop ended, and the answer with it. That takes a process that handles little at a time to be rare, and is the usual case for one that was kept from running, as by a quota of its processor.

Why it works: a request stays pending until evhttp has written the whole answer or the connection has ended, which frees the count either way. The gateway of the stand-alone deployment drains by the same count.

--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -102,21 +102,66 @@
 
 }  // namespace
 
+namespace {
+
+/// Counts a request as pending while it exists: until the response is written
+/// or the connection has ended.
+class PendingRequest {
+ public:
+  explicit PendingRequest(std::shared_ptr<HttpServer::Shared> server)
+      : server_(std::move(server)) {
+    ++server_->pending;
+  }
+  ~PendingRequest() { --server_->pending; }
+  PendingRequest(const PendingRequest&) = delete;
+  auto operator=(const PendingRequest&) -> PendingRequest& = delete;
+
+ private:
+  std::shared_ptr<HttpServer::Shared> server_;
+};
+
+auto OnConnectionEnded(evhttp_connection* /*connection*/, void* argument)
+    -> void {
+  delete static_cast<PendingRequest*>(argument);
+}
+
+auto OnWritten(evhttp_request* request, void* argument) -> void {
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
+                                nullptr);
+  delete static_cast<PendingRequest*>(argument);
+}
+
+/// Keeps a request pending until its response is written.
+auto ReleaseOnceWritten(evhttp_request* request,
+                        std::unique_ptr<PendingRequest> pending) -> void {
+  auto* connection = evhttp_request_get_connection(request);
+  if (connection == nullptr) {
+    // The client is gone, and evhttp writes nothing.
+    return;
+  }
+  auto* argument = pending.release();
+  evhttp_request_set_on_complete_cb(request, OnWritten, argument);
+  evhttp_connection_set_closecb(connection, OnConnectionEnded, argument);
+}
+
+}  // namespace
+
 struct HttpReply::State {
   /// Null once answered. evhttp keeps the request until then, even when the
   /// client disconnects.
   evhttp_request* request = nullptr;
   std::shared_ptr<HttpServer::Shared> server;
+  std::unique_ptr<PendingRequest> pending;
   std::function<void(const HttpResponse&)> listener;
 
   State(evhttp_request* open_request,
-        std::shared_ptr<HttpServer::Shared> open_server)
-      : request(open_request), server(std::move(open_server)) {
-    ++server->pending;
-  }
+        const std::shared_ptr<HttpServer::Shared>& open_server)
+      : request(open_request),
+        server(open_server),
+        pending(std::make_unique<PendingRequest>(open_server)) {}
   ~State() {
-    --server->pending;
     if (request != nullptr && server->alive) {
+      ReleaseOnceWritten(request, std::move(pending));
       evhttp_send_error(request, kHttpInternalError, nullptr);
     }
   }
@@ -135,6 +180,7 @@
   }
   auto* request = std::exchange(state_->request, nullptr);
   if (request == nullptr || !state_->server->alive) {
+    state_->pending.reset();
     return;
   }
   auto* headers = evhttp_request_get_output_headers(request);
@@ -144,6 +190,7 @@
   if (state_->server->closing) {
     evhttp_add_header(headers, "Connection", "close");
   }
+  ReleaseOnceWritten(request, std::move(state_->pending));
   auto* body = evbuffer_new();
   evbuffer_add(body, response.body.data(), response.body.size());
   evhttp_send_reply(request, response.status, nullptr, body);
--- a/Libraries/LibNet/http_server.h
+++ b/Libraries/LibNet/http_server.h
@@ -64,7 +64,9 @@
   /// Keeps accepting connections, but closes each after its next response.
   auto CloseAfterResponses() -> void { shared_->closing = true; }
 
-  /// @return number of requests received and not yet answered.
+  /// @return number of requests received whose responses are not yet written to
+  ///     their connections. A process that exits when there are none loses no
+  ///     response.
   [[nodiscard]] auto pending() const -> int { return shared_->pending; }
 
   /// Passes a request to the handler; for the C callback only.
--- a/Tests/LibNet/http_test.cc
+++ b/Tests/LibNet/http_test.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <optional>
 #include <vector>
 
 #include "LibNet/http_client.h"
@@ -189,5 +191,89 @@
   EXPECT_EQ(exchange, Exchange::kNeverSent);
 }
 
+/// Opens a connection to an address and sends a request on it.
+auto SendRaw(const core::Address& address, const std::string& text) -> int {
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+  const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  EXPECT_EQ(
+      connect(descriptor, reinterpret_cast<sockaddr*>(&target), sizeof(target)),
+      0);
+  EXPECT_EQ(write(descriptor, text.data(), text.size()),
+            static_cast<ssize_t>(text.size()));
+  return descriptor;
+}
+
+/// @return all that arrives on a connection until its end.
+auto ReadUntilEnd(int descriptor) -> std::string {
+  std::string text;
+  std::array<char, 4096> part{};
+  for (ssize_t size = 0;
+       (size = read(descriptor, part.data(), part.size())) > 0;) {
+    text.append(part.data(), static_cast<std::size_t>(size));
+  }
+  close(descriptor);
+  return text;
+}
+
+/// When a process that drains looks whether a request is pending.
+struct ExitCase {
+  const char* name;
+  /// From the answer to the look; nothing for one in the handler itself.
+  std::optional<core::Millis> look_after_ms;
+  std::size_t body_bytes;
+};
+
+class ExitAfterAnswer : public testing::TestWithParam<ExitCase> {};
+
+// Guards against answers lost by a process that drains: it exited once they
+// were handed to the HTTP library, before they were written to the connection.
+TEST_P(ExitAfterAnswer, TheAnswerIsWrittenWhole) {
+  const auto& exit_case = GetParam();
+  const core::Address address{"127.0.0.1", 17986};
+  const std::string body(exit_case.body_bytes, 'a');
+  auto descriptor = -1;
+  {
+    EventLoop loop;
+    core::Reason reason;
+    std::function<void()> stop_when_idle;
+    const auto server = HttpServer::create(
+        loop, address,
+        [&](const HttpRequest&, const HttpReply& reply) {
+          reply.Send({200, {}, body});
+          if (exit_case.look_after_ms) {
+            loop.After(*exit_case.look_after_ms, stop_when_idle);
+          } else {
+            stop_when_idle();
+          }
+        },
+        reason);
+    ASSERT_NE(server, nullptr) << reason.message;
+    stop_when_idle = [&] {
+      if (server->pending() == 0) {
+        loop.Stop();
+      } else {
+        loop.After(1, stop_when_idle);
+      }
+    };
+    descriptor = SendRaw(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.After(kTimeout, [&] { loop.Stop(); });
+    loop.Run();
+  }
+  const auto answer = ReadUntilEnd(descriptor);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n" + body))
+      << answer.size() << " bytes arrived";
+}
+
+INSTANTIATE_TEST_SUITE_P(Http,
+                         ExitAfterAnswer,
+                         testing::Values(ExitCase{"InTheHandler", {}, 20},
+                                         ExitCase{"InTheSameTurn", 0, 20},
+                                         ExitCase{"InTheNextTurn", 1, 20},
+                                         ExitCase{"Long", 0, 1 << 16}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace kcm::net
