LibDispatch: Log why the steps that wait longest are not placed

Whether it lacks workers that may run it, room on them, or room in one rack could not be told. The line `step_waits`, for at most four steps each two seconds, counts where its tasks fit when the workers are empty and now, in the fleet and in the best rack.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -66,6 +66,7 @@
     EventInfo{Event::kWorkerReplaced, "worker_replaced", Severity::kWarning},
     EventInfo{Event::kListingRemoved, "listing_removed", Severity::kInfo},
     EventInfo{Event::kEndsCutShort, "ends_cut_short", Severity::kInfo},
+    EventInfo{Event::kStepWaits, "step_waits", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -65,6 +65,8 @@
   kListingRemoved = 336,
   /// A worker's answer had no room for all its ends.
   kEndsCutShort = 337,
+  /// A step waits for capacity; why it cannot be placed.
+  kStepWaits = 338,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -332,6 +332,10 @@
                 const std::map<std::string, bool>& guaranteed_jobs,
                 PlanPass& pass,
                 ClockReading now) -> void;
+  /// Logs now and then why the steps that wait longest are not placed.
+  auto ReportLongWaits(const std::vector<PendingStep>& pending_steps,
+                       const PlanPass& pass,
+                       ClockReading now) -> void;
   auto Place(PendingStep& pending,
              const Placement& placement,
              FleetView& fleet,
@@ -380,6 +384,7 @@
   core::Millis next_plan_at_ = 0;
   /// End of the pause after the newest planning pass.
   core::Millis plan_pause_until_ = 0;
+  core::Millis next_wait_report_at_ = 0;
   core::Millis next_watch_at_ = 0;
   core::Millis next_prune_at_ = 0;
   /// Urgent steps for which runs were evicted, and when to evict again.
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -31,6 +31,11 @@
 /// Runs that end within this time, about as long as a stop takes, are awaited
 /// instead of evicting others.
 constexpr core::Millis kWaitForEndMs = 300;
+/// Steps that wait longer than this are logged, this often, and so many of them
+/// at a time.
+constexpr core::Millis kLongWaitMs = 4000;
+constexpr core::Millis kWaitReportPeriodMs = 2000;
+constexpr std::size_t kWaitReports = 4;
 /// Maximum number of steps with reserved capacity at the same time.
 constexpr int kMaxReservations = 2;
 
@@ -65,6 +70,54 @@
   for (auto& pending : pending_steps) {
     PlanStep(pending, guaranteed_jobs, pass, now);
   }
+  ReportLongWaits(pending_steps, pass, now);
+}
+
+auto Dispatcher::ReportLongWaits(const std::vector<PendingStep>& pending_steps,
+                                 const PlanPass& pass,
+                                 ClockReading now) -> void {
+  if (now.steady < next_wait_report_at_) {
+    return;
+  }
+  next_wait_report_at_ = now.steady + kWaitReportPeriodMs;
+  std::vector<const PendingStep*> waiting;
+  for (const auto& pending : pending_steps) {
+    if (!pending.tasks.empty() &&
+        now.wall - pending.rank.due_at >= kLongWaitMs) {
+      waiting.push_back(&pending);
+    }
+  }
+  const auto count = std::min(waiting.size(), kWaitReports);
+  std::partial_sort(
+      waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(count),
+      waiting.end(), [](const PendingStep* left, const PendingStep* right) {
+        return left->rank.due_at < right->rank.due_at;
+      });
+  waiting.resize(count);
+  for (const auto* pending : waiting) {
+    const auto request = BuildPlacementRequest(*pending, pass.fleet, now);
+    const auto report = CountWhereFits(pass.fleet, request);
+    const auto& spec = *request.step;
+    RecordDecision(core::Event::kStepWaits,
+                   {{"job", pending->job->spec.id},
+                    {"step", pending->step->spec},
+                    {"tasks", request.tasks},
+                    {"age_ms", now.wall - pending->rank.due_at},
+                    {"tier", static_cast<int>(pending->rank.tier)},
+                    {"gang", spec.gang},
+                    {"same_rack", spec.same_rack},
+                    {"data_rack", spec.data_rack},
+                    {"label", spec.required_label},
+                    {"avoided", request.avoid.size()},
+                    {"isolated", pending->is_isolated},
+                    {"workers", pass.fleet.workers.size()},
+                    {"eligible", report.eligible},
+                    {"fit_empty", report.fit_empty},
+                    {"fit_now", report.fit_now},
+                    {"fit_rack_empty", report.fit_rack_empty},
+                    {"fit_rack_now", report.fit_rack_now},
+                    {"reservations", pass.reservations}});
+  }
 }
 
 auto Dispatcher::GuaranteedJobs() -> std::map<std::string, bool> {
--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -413,6 +413,30 @@
   return best;
 }
 
+auto CountWhereFits(const FleetView& fleet, const PlacementRequest& request)
+    -> WaitReport {
+  const auto free_now = [&](const WorkerView& worker) {
+    return worker.FreeCapacityFor(request.now, request.run_ms);
+  };
+  const auto count = [&](WorkerRange range, const auto& capacity_of) {
+    return static_cast<std::int64_t>(
+        FillRange(fleet, request, range, capacity_of).size());
+  };
+  WaitReport report;
+  report.eligible = std::count_if(
+      fleet.workers.begin(), fleet.workers.end(),
+      [&](const WorkerView& worker) { return IsEligible(worker, request); });
+  report.fit_empty = count(WholeFleet(fleet), CapacityOf);
+  report.fit_now = count(WholeFleet(fleet), free_now);
+  for (const auto& [first, last] : fleet.racks) {
+    const WorkerRange range{first, last};
+    report.fit_rack_empty =
+        std::max(report.fit_rack_empty, count(range, CapacityOf));
+    report.fit_rack_now = std::max(report.fit_rack_now, count(range, free_now));
+  }
+  return report;
+}
+
 auto CanEverFit(const FleetView& fleet, const PlacementRequest& request)
     -> bool {
   return !FindWithCapacity(fleet, request, CapacityOf).empty();
--- a/Libraries/LibDispatch/placement_finder.h
+++ b/Libraries/LibDispatch/placement_finder.h
@@ -75,6 +75,24 @@
                                  const PlacementRequest& request)
     -> std::optional<EvictionPlan>;
 
+/// Numbers of workers and tasks that show why a step waits.
+struct WaitReport {
+  /// Workers that may run the tasks, whatever else they run.
+  std::int64_t eligible = 0;
+  /// Tasks that these hold when empty, and now.
+  std::int64_t fit_empty = 0;
+  std::int64_t fit_now = 0;
+  /// The same for the rack that holds the most.
+  std::int64_t fit_rack_empty = 0;
+  std::int64_t fit_rack_now = 0;
+};
+
+/// Counts where the tasks of a request fit, regardless of the racks that they
+/// prefer.
+[[nodiscard]] auto CountWhereFits(const FleetView& fleet,
+                                  const PlacementRequest& request)
+    -> WaitReport;
+
 /// @return whether the tasks would fit if the workers had no runs: all of a
 ///     gang, or at least one otherwise.
 [[nodiscard]] auto CanEverFit(const FleetView& fleet,
