LibDispatch: Bound the wait for the rack that tasks prefer

Cause: tasks that are faster in one rack, that of their data or any single one, were placed there or nowhere. Nothing limited the wait, and the price of a run elsewhere, remote_factor, was not read from the settings.

Why it works: whoever has waited as long as the rack saves may as well have run elsewhere from the start, so the wait ends there, whatever the guess of when the rack opens. Runs away from their rack are left out of the estimates and compared only with each other, so that no worker is taken for slow because of them.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -67,6 +67,7 @@
     EventInfo{Event::kListingRemoved, "listing_removed", Severity::kInfo},
     EventInfo{Event::kEndsCutShort, "ends_cut_short", Severity::kInfo},
     EventInfo{Event::kStepWaits, "step_waits", Severity::kInfo},
+    EventInfo{Event::kRackGivenUp, "rack_given_up", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -67,6 +67,7 @@
   kEndsCutShort = 337,
   /// A step waits for capacity; why it cannot be placed.
   kStepWaits = 338,
+  kRackGivenUp = 339,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatch_settings.h
+++ b/Libraries/LibDispatch/dispatch_settings.h
@@ -24,6 +24,8 @@
   core::Millis checkpoint_ms = 2000;
   /// Time that a run takes to resume from a checkpoint.
   core::Millis restore_ms = 100;
+  /// How many times as long tasks take outside of the rack that they prefer.
+  double remote_factor = 3;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -332,6 +332,16 @@
                 const std::map<std::string, bool>& guaranteed_jobs,
                 PlanPass& pass,
                 ClockReading now) -> void;
+  /// Places the tasks of a step that has waited long enough for the rack that
+  /// it prefers on other workers.
+  auto PlaceElsewhere(PendingStep& pending,
+                      const PlacementRequest& request,
+                      PlanPass& pass,
+                      ClockReading now) -> void;
+  /// @return whether a run of the task is slower for the rack it is in.
+  [[nodiscard]] auto IsAwayFromRack(const Job& job,
+                                    const Step& step,
+                                    const Task& task) const -> bool;
   /// Logs now and then why the steps that wait longest are not placed.
   auto ReportLongWaits(const std::vector<PendingStep>& pending_steps,
                        const PlanPass& pass,
--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -224,6 +224,26 @@
   }
 }
 
+auto Dispatcher::IsAwayFromRack(const Job& job,
+                                const Step& step,
+                                const Task& task) const -> bool {
+  const auto& spec = job.SpecOf(step);
+  const auto rack_of = [&](const Task& placed) {
+    const auto session = sessions_.find(placed.worker);
+    return session == sessions_.end() ? std::string()
+                                      : session->second.info().rack;
+  };
+  const auto rack = rack_of(task);
+  if (!spec.data_rack.empty() && rack != spec.data_rack) {
+    return true;
+  }
+  return spec.same_rack && std::any_of(step.tasks.begin(), step.tasks.end(),
+                                       [&](const Task& other) {
+                                         return !other.worker.empty() &&
+                                                rack_of(other) != rack;
+                                       });
+}
+
 auto Dispatcher::RecordRunTime(const Job& job,
                                const Step& step,
                                const EndedRun& ended,
@@ -231,8 +251,10 @@
   const auto& run = ended.run;
   const auto& task = step.tasks[static_cast<std::size_t>(run.task.index)];
   if (!run.started_at || !run.checkpoint.empty() ||
-      slow_workers_.IsSlow(task.worker, now.steady)) {
-    // A run that resumed, or is on a slow worker, takes an unusual time.
+      slow_workers_.IsSlow(task.worker, now.steady) ||
+      IsAwayFromRack(job, step, task)) {
+    // A run that resumed, is on a slow worker or is away from the rack that it
+    // prefers takes an unusual time.
     return;
   }
   auto part = kWholePercent;
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibDispatch/dispatcher.h"
+#include "LibDispatch/rack_wait.h"
 
 namespace kcm::dispatch {
 
@@ -369,6 +370,13 @@
       pass.no_capacity.Add(request, pass.has_reserved ? request.run_ms : 0, 0);
     }
   }
+  if (PrefersRack(spec)) {
+    PlaceElsewhere(pending, request, pass, now);
+    if (pending.tasks.empty()) {
+      return;
+    }
+    request = BuildPlacementRequest(pending, fleet, now);
+  }
   const auto is_urgent =
       pending.rank.tier == JobTier::kGuaranteed ||
       (pending.rank.tier == JobTier::kInTime && pending.rank.priority == 0);
@@ -404,6 +412,46 @@
   }
 }
 
+auto Dispatcher::PlaceElsewhere(PendingStep& pending,
+                                const PlacementRequest& request,
+                                PlanPass& pass,
+                                ClockReading now) -> void {
+  const auto spec = WithoutRack(*request.step);
+  auto elsewhere = request;
+  elsewhere.step = &spec;
+  elsewhere.tasks = static_cast<std::int64_t>(pending.tasks.size());
+  if (pass.no_capacity.Cover(elsewhere, 0)) {
+    return;
+  }
+  const auto placement = FindPlacement(pass.fleet, elsewhere);
+  if (placement.empty()) {
+    pass.no_capacity.Add(elsewhere, pass.has_reserved ? elsewhere.run_ms : 0,
+                         0);
+    return;
+  }
+  auto& since = pending.step->fits_elsewhere_since;
+  since = since.value_or(now.steady);
+  auto twice = elsewhere;
+  twice.tasks *= 2;
+  const auto has_ample_room =
+      static_cast<std::int64_t>(FindPlacement(pass.fleet, twice).size()) ==
+      twice.tasks;
+  const auto waited = now.steady - *since;
+  if (waited < LongestRackWaitMs({elsewhere.run_ms, settings_.remote_factor,
+                                  has_ample_room})) {
+    return;
+  }
+  RecordDecision(core::Event::kRackGivenUp,
+                 {{"job", pending.job->spec.id},
+                  {"step", pending.step->spec},
+                  {"tasks", placement.size()},
+                  {"data_rack", request.step->data_rack},
+                  {"waited_ms", waited},
+                  {"run_ms", elsewhere.run_ms},
+                  {"ample_room", has_ample_room}});
+  Place(pending, placement, pass.fleet, now);
+}
+
 auto Dispatcher::Place(PendingStep& pending,
                        const Placement& placement,
                        FleetView& fleet,
@@ -411,6 +459,7 @@
   auto& job = *pending.job;
   auto& step = *pending.step;
   const auto& spec = job.SpecOf(step);
+  step.fits_elsewhere_since.reset();
   std::int64_t newest = 0;
   for (const auto& task : step.tasks) {
     newest = std::max(newest, task.attempt);
--- a/Libraries/LibDispatch/dispatcher_speed.cc
+++ b/Libraries/LibDispatch/dispatcher_speed.cc
@@ -1,7 +1,9 @@
 // Moves work off workers that work much slower than others.
 
 #include <map>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "LibDispatch/dispatcher.h"
 
@@ -25,7 +27,9 @@
     return;
   }
   next_speeds_at_ = now.steady + kComparePeriodMs;
-  std::map<std::pair<const Job*, const Step*>, std::vector<RunSpeed>> speeds;
+  // Runs away from the rack of their data are slower for that alone.
+  std::map<std::tuple<const Job*, const Step*, bool>, std::vector<RunSpeed>>
+      speeds;
   for (const auto& [id, session] : sessions_) {
     ++load_.sessions;
     for (const auto& [task, run] : session.runs()) {
@@ -37,7 +41,8 @@
       }
       const auto* step = job->FindStep(task);
       if (step != nullptr && !job->SpecOf(*step).gang) {
-        speeds[{job, step}].push_back({id, *run.recent_speed});
+        const auto is_away = IsAwayFromRack(*job, *step, *job->FindTask(task));
+        speeds[{job, step, is_away}].push_back({id, *run.recent_speed});
       }
     }
   }
--- a/Libraries/LibDispatch/job.h
+++ b/Libraries/LibDispatch/job.h
@@ -67,6 +67,10 @@
   std::vector<Task> tasks;
   /// Number of tasks that are done.
   std::int64_t done = 0;
+  /// Since when its waiting tasks fit outside of the rack that they prefer, on
+  /// the steady clock; nothing if they do not, or prefer none. Not stored:
+  /// after a takeover the wait begins anew.
+  std::optional<core::Millis> fits_elsewhere_since;
   /// Newest attempt of a gang of which a member ended since another one had.
   std::int64_t broken_attempt = 0;
 };
--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -336,6 +336,9 @@
         NodeCase{"BadShare", "checkpoint_s = 2",
                  "checkpoint_s = 2\n[limits]\ncpu_share = -1",
                  "limits.cpu_share", "line 20"},
+        NodeCase{"FasterElsewhere", "checkpoint_s = 2",
+                 "checkpoint_s = 2\nremote_factor = 0.5",
+                 "bounds.remote_factor", "line 19"},
         NodeCase{"NegativeHeartbeat", "ip = \"127.0.0.1\"",
                  "ip = \"127.0.0.1\"\nheartbeat_ms = -1", "heartbeat_ms",
                  "line 5"},
@@ -367,6 +370,30 @@
                     HeartbeatCase{"missing", "", 0}),
     [](const auto& info) { return info.param.name; });
 
+struct RemoteCase {
+  const char* name;
+  const char* line;
+  double remote_factor;
+};
+
+class NodeRemoteFactor : public testing::TestWithParam<RemoteCase> {};
+
+// Guards against a wait for a rack that is weighed by a factor of our own.
+TEST_P(NodeRemoteFactor, IsTheFilesOwn) {
+  core::Reason reason;
+  const auto settings =
+      ReadNodeText(std::string(kNodeText) + GetParam().line, reason);
+  ASSERT_TRUE(settings) << reason.message;
+  EXPECT_EQ(settings->dispatch.remote_factor, GetParam().remote_factor);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines,
+    NodeRemoteFactor,
+    testing::Values(RemoteCase{"given", "remote_factor = 1.5\n", 1.5},
+                    RemoteCase{"missing", "", 3}),
+    [](const auto& info) { return info.param.name; });
+
 struct CapacityCase {
   const char* name;
   const char* limits;
