LibDispatch: Give a rack up early only while half of the fleet is free

With room for the tasks twice over, but most of the fleet in use, a run that takes three times as long costs others. The wait then ends when it has cost what the rack saves, as beside scarce room; the users' limit of three seconds holds while less than half of the capacity is in use.

FullRack/GangBusyFleet is new: ten workers free of forty.

--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -32,6 +32,8 @@
 /// Runs that end within this time, about as long as a stop takes, are awaited
 /// instead of evicting others.
 constexpr core::Millis kWaitForEndMs = 300;
+/// Share of the fleet in use from which on room counts as scarce.
+constexpr double kMostInUse = 0.5;
 /// Steps that wait longer than this are logged, this often, and so many of them
 /// at a time.
 constexpr core::Millis kLongWaitMs = 4000;
@@ -434,8 +436,9 @@
   auto twice = elsewhere;
   twice.tasks *= 2;
   const auto has_ample_room =
+      ShareInUse(pass.fleet, request.service) < kMostInUse &&
       static_cast<std::int64_t>(FindPlacement(pass.fleet, twice).size()) ==
-      twice.tasks;
+          twice.tasks;
   const auto waited = now.steady - *since;
   if (waited < LongestRackWaitMs({elsewhere.run_ms, settings_.remote_factor,
                                   has_ample_room})) {
--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -437,6 +437,19 @@
   return report;
 }
 
+auto ShareInUse(const FleetView& fleet, const std::string& service) -> double {
+  fleet.CountWorkers(fleet.workers.size());
+  double capacity = 0;
+  double free = 0;
+  for (const auto& worker : fleet.workers) {
+    if (worker.info->service == service) {
+      capacity += CoresOf(worker.info->capacity);
+      free += CoresOf(worker.free);
+    }
+  }
+  return capacity > 0 ? 1 - free / capacity : 0;
+}
+
 auto CanEverFit(const FleetView& fleet, const PlacementRequest& request)
     -> bool {
   return !FindWithCapacity(fleet, request, CapacityOf).empty();
--- a/Libraries/LibDispatch/placement_finder.h
+++ b/Libraries/LibDispatch/placement_finder.h
@@ -93,6 +93,11 @@
                                   const PlacementRequest& request)
     -> WaitReport;
 
+/// @return the share of a pool's capacity that is in use, in cores, for which
+///     an accelerator counts as several.
+[[nodiscard]] auto ShareInUse(const FleetView& fleet,
+                              const std::string& service) -> double;
+
 /// @return whether the tasks would fit if the workers had no runs: all of a
 ///     gang, or at least one otherwise.
 [[nodiscard]] auto CanEverFit(const FleetView& fleet,
--- a/Libraries/LibDispatch/rack_wait.h
+++ b/Libraries/LibDispatch/rack_wait.h
@@ -12,8 +12,8 @@
   core::Millis run_ms = 0;
   /// How many times as long the tasks take elsewhere.
   double remote_factor = 1;
-  /// The tasks fit twice over elsewhere, so that nobody else needs what a
-  /// slower run takes.
+  /// Less than half of the fleet is in use and the tasks fit twice over
+  /// elsewhere, so that nobody else needs what a slower run takes.
   bool has_ample_room = false;
 };
 
--- a/Tests/LibDispatch/rack_wait_test.cc
+++ b/Tests/LibDispatch/rack_wait_test.cc
@@ -30,7 +30,8 @@
   core::Millis run_ms;
   /// When one of the workers in the first rack becomes free; zero for never.
   core::Millis opens_after_ms;
-  /// Time by which the tasks run.
+  /// Time for which they wait at least, and by which they run.
+  core::Millis waits_for_ms;
   core::Millis runs_within_ms;
   bool stays_in_rack;
 };
@@ -90,6 +91,7 @@
       rack_case.runs_within_ms))
       << simulation_.RunsOf("job") << " run " << simulation_.now - asked_at
       << " ms after they were submitted";
+  EXPECT_GE(simulation_.now - asked_at, rack_case.waits_for_ms);
   const auto racks = RacksOf("job");
   EXPECT_EQ(racks.size() == 1 && (rack_case.same_rack || racks.contains("r0")),
             rack_case.stays_in_rack);
@@ -100,20 +102,24 @@
     Dispatcher,
     FullRack,
     testing::Values(
-        RackCase{"GangAmpleRoom", 4, 4, 1, true, 4, 20000, 0, kMaxIdleMs,
+        RackCase{"GangAmpleRoom", 4, 4, 1, true, 4, 20000, 0, 1500, kMaxIdleMs,
                  false},
-        RackCase{"GangRackOpens", 4, 4, 1, true, 4, 20000, 800, kMaxIdleMs,
+        RackCase{"GangRackOpens", 4, 4, 1, true, 4, 20000, 800, 500, kMaxIdleMs,
                  true},
         // Six workers are free, too few for twice the gang; the rack saves 4 s.
-        RackCase{"GangScarceRoom", 2, 2, 1, true, 4, 2000, 0, 4500, false},
-        RackCase{"GangScarceRackOpens", 2, 2, 1, true, 4, 2000, 3000, 4500,
-                 true},
+        RackCase{"GangScarceRoom", 2, 2, 1, true, 4, 2000, 0, 4000, 4500,
+                 false},
+        RackCase{"GangScarceRackOpens", 2, 2, 1, true, 4, 2000, 3000, 2500,
+                 4500, true},
+        // Ten workers are free, a quarter of the fleet.
+        RackCase{"GangBusyFleet", 10, 10, 3, true, 4, 2000, 0, 4000, 4500,
+                 false},
         // The pattern of review/2.
-        RackCase{"DataRackFull", 2, 1, 4, false, 1, 20000, 0, kMaxIdleMs,
+        RackCase{"DataRackFull", 2, 1, 4, false, 1, 20000, 0, 0, kMaxIdleMs,
                  false},
-        RackCase{"DataRackOpens", 2, 1, 4, false, 1, 20000, 800, kMaxIdleMs,
-                 true},
-        RackCase{"DataRackFree", 2, 1, 0, false, 4, 20000, 0, kMaxIdleMs,
+        RackCase{"DataRackOpens", 2, 1, 4, false, 1, 20000, 800, 500,
+                 kMaxIdleMs, true},
+        RackCase{"DataRackFree", 2, 1, 0, false, 4, 20000, 0, 0, kMaxIdleMs,
                  true}),
     [](const auto& info) { return info.param.name; });
 
