LibEntry, Services/Entry: Answer all open calls before the process exits

Cause: at the end of the drain the process stopped whatever was pending. A call waits for the holder for up to its deadline, which nobody shortened.

EntryServiceTest.AnExitingProcessAnswersAllOpenRequests is of the new function.

The process exits once all answers are written, those to other VMs too, whose calls it relays.

--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -343,6 +343,11 @@
   }
 }
 
+auto EntryService::CloseRequests() -> void {
+  routes_confirmation_.Close();
+  holder_client_.Close();
+}
+
 auto EntryService::CandidateCapacity() const -> double {
   return !draining_ && StoreAnswered(kStoreSilentMs) ? settings_.cpu_capacity
                                                      : 0;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -60,6 +60,9 @@
   /// Resigns the term, claims no other and is no longer ready.
   auto Drain() -> void;
 
+  /// Answers all open requests, and later ones at once, as this process exits.
+  auto CloseRequests() -> void;
+
   /// @return whether this process can serve callers.
   [[nodiscard]] auto IsReady() const -> bool;
 
--- a/Libraries/LibEntry/holder_client.cc
+++ b/Libraries/LibEntry/holder_client.cc
@@ -32,23 +32,40 @@
   const auto now = core::SuspendAwareNow();
   const auto pending = std::make_shared<PendingRequest>(PendingRequest{
       request, deadline, relayed, std::nullopt, false, false, std::move(done)});
+  open_.insert(pending);
+  if (closed_) {
+    FailRequest(pending);
+    return;
+  }
   loop_.After(std::max<Millis>(deadline - now, 0),
-              [pending] { FailRequest(*pending); });
+              [this, pending] { FailRequest(pending); });
   SendAttempt(pending);
 }
 
-auto HolderClient::Finish(PendingRequest& pending, const HolderAnswer& answer)
-    -> void {
-  if (!std::exchange(pending.is_answered, true)) {
-    std::exchange(pending.done, nullptr)(answer);
+auto HolderClient::Close() -> void {
+  closed_ = true;
+  for (const auto& pending : std::set(open_)) {
+    FailRequest(pending);
   }
 }
 
-auto HolderClient::FailRequest(PendingRequest& pending) -> void {
-  Finish(pending, {pending.outcome_unknown ? ErrorKind::kOutcomeUnknown
-                                           : ErrorKind::kNoEndpoint,
-                   {},
-                   true});
+auto HolderClient::Finish(const std::shared_ptr<PendingRequest>& pending,
+                          const HolderAnswer& answer) -> void {
+  if (!std::exchange(pending->is_answered, true)) {
+    open_.erase(pending);
+    std::exchange(pending->done, nullptr)(answer);
+  }
+}
+
+auto HolderClient::FailRequest(const std::shared_ptr<PendingRequest>& pending)
+    -> void {
+  // A read changes nothing, so that it is never in doubt.
+  const auto is_in_doubt =
+      pending->outcome_unknown && pending->request.verb != JobVerb::kRead;
+  Finish(pending,
+         {is_in_doubt ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoEndpoint,
+          {},
+          true});
 }
 
 auto HolderClient::SendAttempt(const std::shared_ptr<PendingRequest>& pending)
@@ -61,7 +78,7 @@
     holder->HandleRequest(pending->request, [this, pending, was_unknown](
                                                 const HolderAnswer& answer) {
       if (!answer.not_holder) {
-        Finish(*pending, answer);
+        Finish(pending, answer);
         return;
       }
       pending->outcome_unknown =
@@ -119,7 +136,7 @@
           }
         }
         if (!answer.not_holder) {
-          Finish(*pending, answer);
+          Finish(pending, answer);
           return;
         }
         pending->outcome_unknown =
@@ -139,7 +156,7 @@
   const auto most = may_take_over ? kTakeoverWaitMs : kStoreAwayWaitMs;
   if (pending->relayed || (!pending->outcome_unknown && !waits_for_holder &&
                            now - *pending->vacant_since >= most)) {
-    FailRequest(*pending);
+    FailRequest(pending);
     return;
   }
   ScheduleRetry(pending);
--- a/Libraries/LibEntry/holder_client.h
+++ b/Libraries/LibEntry/holder_client.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "LibEntry/holder_request.h"
@@ -45,6 +46,10 @@
                    bool relayed,
                    Done done) -> void;
 
+  /// Answers all open requests, and later ones at once, as this process exits:
+  /// one that may have reached a holder as in doubt, any other as not taken.
+  auto Close() -> void;
+
  private:
   struct PendingRequest {
     HolderRequest request;
@@ -65,16 +70,18 @@
   auto ScheduleRetry(const std::shared_ptr<PendingRequest>& pending) -> void;
   auto SendTo(const core::Address& address,
               const std::shared_ptr<PendingRequest>& pending) -> void;
-  static auto FailRequest(PendingRequest& pending) -> void;
+  auto FailRequest(const std::shared_ptr<PendingRequest>& pending) -> void;
   /// Answers the request unless it is answered already.
-  static auto Finish(PendingRequest& pending, const HolderAnswer& answer)
-      -> void;
+  auto Finish(const std::shared_ptr<PendingRequest>& pending,
+              const HolderAnswer& answer) -> void;
 
   net::EventLoop& loop_;
   net::HttpClient& http_;
   PeerMonitor& peers_;
   LocalHolder local_holder_;
   StoreAnswers store_answers_;
+  std::set<std::shared_ptr<PendingRequest>> open_;
+  bool closed_ = false;
 };
 
 /// Header of a relayed request: whether the receiver is the holder or a relay.
--- a/Libraries/LibEntry/routes_confirmation.cc
+++ b/Libraries/LibEntry/routes_confirmation.cc
@@ -53,6 +53,10 @@
     done(true);
     return;
   }
+  if (closed_) {
+    done(false);
+    return;
+  }
   const auto waiter = next_waiter_++;
   waiters_.emplace(waiter, std::move(done));
   const auto longest = age_().is_store_away ? kMaxWaitInOutageMs : kMaxWaitMs;
@@ -64,6 +68,13 @@
   read_now_();
 }
 
+auto RoutesConfirmation::Close() -> void {
+  closed_ = true;
+  for (const auto& [waiter, done] : std::exchange(waiters_, {})) {
+    done(false);
+  }
+}
+
 auto RoutesConfirmation::OnRead() -> void {
   if (!IsRecent()) {
     return;
--- a/Libraries/LibEntry/routes_confirmation.h
+++ b/Libraries/LibEntry/routes_confirmation.h
@@ -44,6 +44,10 @@
   ///     else after a read or, without one in time, with false.
   auto Await(core::Millis max_wait, Done done) -> void;
 
+  /// Calls all that wait with false, and later ones at once unless the newest
+  /// confirmation is recent: this process exits.
+  auto Close() -> void;
+
   /// Notices a pause of this process; called by each of its ticks.
   auto CheckPause() -> void;
 
@@ -67,6 +71,7 @@
   core::Millis last_event_at_ = core::SuspendAwareNow();
   /// When the newest pause was noticed; zero for none.
   core::Millis resumed_at_ = 0;
+  bool closed_ = false;
   std::int64_t next_waiter_ = 0;
   std::map<std::int64_t, Done> waiters_;
 };
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -27,6 +27,8 @@
 constexpr Millis kMinDrainMs = 3000;
 /// Part of the grace period that is reserved for the exit itself.
 constexpr Millis kExitMarginMs = 500;
+/// Before that, time to write the answers of requests that are still open.
+constexpr Millis kAnswerMarginMs = 300;
 constexpr Millis kIdleCheckMs = 50;
 
 auto ReadText(const std::string& path) -> std::string {
@@ -157,8 +159,13 @@
   const auto max_drain =
       std::max(settings_.grace_ms - kExitMarginMs, Millis{0});
   const auto min_drain = std::min(kMinDrainMs, max_drain);
-  if (elapsed >= max_drain ||
-      (elapsed >= min_drain && client_server_->pending() == 0)) {
+  if (elapsed >= max_drain - kAnswerMarginMs &&
+      !std::exchange(has_closed_requests_, true)) {
+    service_->CloseRequests();
+  }
+  const auto is_idle =
+      client_server_->pending() == 0 && service_->pending_peer_calls() == 0;
+  if (elapsed >= max_drain || (elapsed >= min_drain && is_idle)) {
     core::LogEvent(core::Event::kDrained,
                    {{"after_ms", elapsed},
                     {"calls", client_server_->pending()},
--- a/Services/Entry/entry_process.h
+++ b/Services/Entry/entry_process.h
@@ -57,6 +57,7 @@
   std::unique_ptr<net::HttpServer> readiness_server_;
   std::string settings_text_;
   bool draining_ = false;
+  bool has_closed_requests_ = false;
   bool was_ready_ = false;
 };
 
--- a/Tests/LibEntry/entry_service_test.cc
+++ b/Tests/LibEntry/entry_service_test.cc
@@ -169,6 +169,23 @@
   EXPECT_EQ(answer->epoch, heartbeat.epoch);
 }
 
+// Guards against requests that a process has received and drops as it exits.
+TEST_F(EntryServiceTest, AnExitingProcessAnswersAllOpenRequests) {
+  store_.refuse_state_reads = true;
+  auto* service = Start(0, 0.25);
+  ASSERT_TRUE(RunUntil([&] { return StoredTerm().epoch == 1; }, 2000));
+  const auto& answer = SendRead(*service);
+  RunFor(50);
+  ASSERT_FALSE(answer);
+  service->CloseRequests();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->error, core::ErrorKind::kNoEndpoint);
+  answer_.reset();
+  SendRead(*service);
+  ASSERT_TRUE(answer) << "a request that arrives during the exit";
+  EXPECT_EQ(answer->error, core::ErrorKind::kNoEndpoint);
+}
+
 // Pattern: a takeover under load. The next holder reads the state for some 200
 // ms; callers were refused after 60 ms, told to come again after a second, and
 // saw results that were ready a second late.
