LibEntry: Hold the term while no other VM can take it

Cause: a process that drains resigned its term and claimed none, also if all others drained as well. Nobody held the term then; calls waited for a holder, the VMs waited with their exit for these calls, and so with their return as candidates: each waited for the other.

EntryServiceTest.TheTermIsHeldWhileAllProcessesDrain is of the new functions.

Why it works: heartbeats and notes say who drains. A draining holder resigns as soon as a peer is known that does not, at the latest a second before its exit, and a draining process claims a vacant term only if no such peer is known. The store fences as before, so that two holders are no more possible than before. A process exits once it has no part in the term and has told so.

--- a/Libraries/LibEntry/claim_order.h
+++ b/Libraries/LibEntry/claim_order.h
@@ -17,6 +17,8 @@
   /// The store is in another region, so that each append crosses between
   /// regions.
   bool is_store_remote = false;
+  /// It is about to exit.
+  bool is_draining = false;
 };
 
 /// @return whether a process has so much more processor capacity than another
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -38,6 +38,10 @@
 constexpr Millis kStoreSilentMs = 3000;
 /// The store answers at least each kOperatorsWaitMs unless it is away.
 constexpr Millis kStoreAnswersMs = 1500;
+/// A claim is of use if the term can then be held for some time.
+constexpr Millis kMinTermMs = 1000;
+/// Time in which the end of a term is sent to the others.
+constexpr Millis kAnnounceMs = 100;
 
 /// Heartbeats and relayed calls count with those that this process sends.
 auto KindOf(const std::string& path) -> std::string {
@@ -100,7 +104,9 @@
                self.is_store_remote =
                    term_reads_ > 0 &&
                    min_store_round_trip_ms_ > kRemoteRegionRoundTripMs;
+               self.is_draining = draining_;
                self.resigned = draining_ && holder_ == nullptr &&
+                               state_reader_ == nullptr &&
                                peers_.holder_view().address == settings_.peer;
                if (holder_ != nullptr) {
                  self.is_holder = true;
@@ -198,8 +204,14 @@
       peers_.holder_view().epoch > won_claim_.term.epoch) {
     state_reader_.reset();
   }
-  if (holder_ != nullptr || state_reader_ != nullptr || claiming_ ||
-      draining_) {
+  if (state_reader_ != nullptr && LeavesTerm(now)) {
+    AbandonRecovery();
+  }
+  if (holder_ != nullptr || state_reader_ != nullptr || claiming_) {
+    left_at_ = now;
+    return;
+  }
+  if (LeavesTerm(now + kMinTermMs)) {
     return;
   }
   if (election_.IsVacant(peers_.holder_view(), now)) {
@@ -224,6 +236,9 @@
     return;
   }
   holder.RunDueWork();
+  if (LeavesTerm(now) && holder_.get() == &holder) {
+    ResignTerm(holder);
+  }
   if (now >= next_handover_check_at_) {
     next_handover_check_at_ = now + kHandoverCheckMs;
     ResignToLargerPeer(holder, now);
@@ -278,7 +293,7 @@
   election_.RecordClaimWon();
   peers_.OnTermWon(result.term);
   won_claim_ = std::move(result);
-  if (draining_) {
+  if (LeavesTerm(core::SuspendAwareNow())) {
     AbandonRecovery();
     return;
   }
@@ -334,13 +349,22 @@
   ReleaseHolder();
 }
 
-auto EntryService::Drain() -> void {
+auto EntryService::Drain(Millis leave_by) -> void {
   draining_ = true;
-  if (state_reader_ != nullptr) {
-    AbandonRecovery();
-  } else if (holder_ != nullptr) {
-    ResignTerm(*holder_);
-  }
+  leave_by_ = leave_by;
+  left_at_ = core::SuspendAwareNow();
+  // The holder learns at once that this process is no successor.
+  peers_.SendDueHeartbeats();
+  RunDueWork();
+}
+
+auto EntryService::LeavesTerm(Millis now) const -> bool {
+  return draining_ && (now >= leave_by_ || peers_.HasSuccessor());
+}
+
+auto EntryService::HasLeft() const -> bool {
+  return draining_ && holder_ == nullptr && state_reader_ == nullptr &&
+         !claiming_ && core::SuspendAwareNow() - left_at_ >= kAnnounceMs;
 }
 
 auto EntryService::CloseRequests() -> void {
@@ -372,6 +396,9 @@
 }
 
 auto EntryService::ResignTerm(TermHolder& holder) -> void {
+  if (holder.is_resigning()) {
+    return;
+  }
   holder.Resign([this, epoch = holder.term().epoch] {
     if (holder_ == nullptr) {
       return;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -57,8 +57,15 @@
 
   auto SetSettings(const EntrySettings& settings) -> void;
 
-  /// Resigns the term, claims no other and is no longer ready.
-  auto Drain() -> void;
+  /// Is no longer ready, and leaves the term to the others: resigns it as soon
+  /// as one of them is known that does not drain as well, and claims it only
+  /// while none is.
+  /// @param leave_by when to resign in any case, on the suspend-aware clock.
+  auto Drain(core::Millis leave_by) -> void;
+
+  /// @return whether Drain() was called, and this process has no part in the
+  ///     term any more and has announced that.
+  [[nodiscard]] auto HasLeft() const -> bool;
 
   /// Answers all open requests, and later ones at once, as this process exits.
   auto CloseRequests() -> void;
@@ -96,6 +103,9 @@
   [[nodiscard]] auto CountPendingJobs(const TermHolder& holder) const
       -> const std::map<std::string, std::int64_t>&;
   auto ResignToLargerPeer(TermHolder& holder, core::Millis now) -> void;
+  /// @return whether this process gives the term up, or does not claim it, as
+  ///     it drains.
+  [[nodiscard]] auto LeavesTerm(core::Millis now) const -> bool;
   auto ResignTerm(TermHolder& holder) -> void;
   /// Holds the term no more. The holder, which may be on the call stack, is
   /// destroyed afterwards.
@@ -129,6 +139,9 @@
   /// The last claim that was won.
   ClaimResult won_claim_;
   bool draining_ = false;
+  core::Millis leave_by_ = 0;
+  /// When this process last had a part in the term.
+  core::Millis left_at_ = 0;
   bool claiming_ = false;
   bool fetching_routes_ = false;
   HttpHeartbeatPort heartbeat_port_;
--- a/Libraries/LibEntry/peer_directory.cc
+++ b/Libraries/LibEntry/peer_directory.cc
@@ -59,6 +59,7 @@
   SetHeard(address, peer, now);
   peer.cpu_capacity = heartbeat.cpu_capacity;
   peer.is_store_remote = heartbeat.is_store_remote;
+  peer.is_draining = heartbeat.is_draining;
   peer.reaches_holder = reaches_holder;
 }
 
@@ -77,6 +78,7 @@
   SetHeard(*address, found->second, heard_at);
   found->second.cpu_capacity = note.cpu_capacity;
   found->second.is_store_remote = note.is_store_remote;
+  found->second.is_draining = note.is_draining;
 }
 
 auto PeerDirectory::RecordFailure(const core::Address& address, Millis now)
@@ -112,8 +114,8 @@
       std::any_of(notes.begin(), notes.end(),
                   [&](const PeerNote& note) { return note.address == text; });
   if (!is_named && peer.heard_at > 0 && now - peer.heard_at < kNamePeerForMs) {
-    notes.push_back(
-        {text, peer.cpu_capacity, peer.is_store_remote, now - peer.heard_at});
+    notes.push_back({text, peer.cpu_capacity, peer.is_store_remote,
+                     now - peer.heard_at, peer.is_draining});
   }
 }
 
@@ -178,8 +180,8 @@
   std::vector<Candidate> live;
   for (const auto& [address, peer] : peers_) {
     if (now - peer.heard_at < kLivePeerMs && peer.heard_at > peer.failed_at) {
-      live.push_back(
-          {address.ToString(), peer.cpu_capacity, peer.is_store_remote});
+      live.push_back({address.ToString(), peer.cpu_capacity,
+                      peer.is_store_remote, peer.is_draining});
     }
   }
   return live;
--- a/Libraries/LibEntry/peer_directory.h
+++ b/Libraries/LibEntry/peer_directory.h
@@ -87,6 +87,7 @@
     bool reaches_holder = false;
     double cpu_capacity = 0;
     bool is_store_remote = false;
+    bool is_draining = false;
     /// Its number in the order in which processes were first heard; zero if it
     /// was not heard yet.
     std::uint64_t number = 0;
--- a/Libraries/LibEntry/peer_heartbeat.h
+++ b/Libraries/LibEntry/peer_heartbeat.h
@@ -21,9 +21,15 @@
   bool is_store_remote = false;
   /// Time since the last known heartbeat of the process.
   core::Millis heard_ms = 0;
+  bool is_draining = false;
 };
 
-KCM_JSON(PeerNote, address, cpu_capacity, is_store_remote, heard_ms)
+KCM_JSON(PeerNote,
+         address,
+         cpu_capacity,
+         is_store_remote,
+         heard_ms,
+         is_draining)
 
 /// State of one entry process, and the newest state of the term holder that it
 /// has received.
@@ -36,6 +42,8 @@
   double cpu_capacity = 0;
   /// The store is in another region than the sender.
   bool is_store_remote = false;
+  /// The sender is about to exit.
+  bool is_draining = false;
   /// Version of the routes in force at the sender.
   std::int64_t routes_version = 0;
   /// Epoch of the newest term in the sender's view; zero for none.
@@ -68,6 +76,7 @@
          address,
          cpu_capacity,
          is_store_remote,
+         is_draining,
          routes_version,
          epoch,
          holder,
--- a/Libraries/LibEntry/peer_monitor.cc
+++ b/Libraries/LibEntry/peer_monitor.cc
@@ -51,6 +51,7 @@
   heartbeat.address = self_address_.ToString();
   heartbeat.cpu_capacity = local_state.cpu_capacity;
   heartbeat.is_store_remote = local_state.is_store_remote;
+  heartbeat.is_draining = local_state.is_draining;
   heartbeat.routes_version = local_state.routes_version;
   heartbeat.epoch = holder_view_.epoch;
   heartbeat.holder = holder_view_.name;
@@ -260,7 +261,13 @@
 auto PeerMonitor::SelfAsCandidate() const -> Candidate {
   const auto local_state = local_state_();
   return {self_address_.ToString(), local_state.cpu_capacity,
-          local_state.is_store_remote};
+          local_state.is_store_remote, local_state.is_draining};
+}
+
+auto PeerMonitor::HasSuccessor() const -> bool {
+  const auto peers = LivePeers();
+  return std::any_of(peers.begin(), peers.end(),
+                     [](const Candidate& peer) { return !peer.is_draining; });
 }
 
 auto PeerMonitor::RouteToHolder() const -> std::optional<core::Address> {
--- a/Libraries/LibEntry/peer_monitor.h
+++ b/Libraries/LibEntry/peer_monitor.h
@@ -40,6 +40,7 @@
     /// In cores; zero if this process cannot hold the term now.
     double cpu_capacity = 0;
     bool is_store_remote = false;
+    bool is_draining = false;
     std::map<std::string, std::int64_t> pending;
   };
 
@@ -94,6 +95,10 @@
     return directory_.LivePeers(clock_());
   }
 
+  /// @return whether a peer that is known to be alive could take the term and
+  ///     is not about to exit.
+  [[nodiscard]] auto HasSuccessor() const -> bool;
+
   /// @return where to send requests for the holder: the holder, or a peer with
   ///     contact to it if this process has none; nothing if there is neither.
   [[nodiscard]] auto RouteToHolder() const -> std::optional<core::Address>;
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -79,6 +79,11 @@
   /// away, requests are answered from memory or refused.
   auto Resign(std::function<void()> done) -> void;
 
+  /// @return whether Resign() was called and the term is not given up yet.
+  [[nodiscard]] auto is_resigning() const -> bool {
+    return on_resigned_ != nullptr;
+  }
+
   [[nodiscard]] auto term() const -> const TermRow& { return term_; }
   /// @return for how long the current append has failed; zero if it has not.
   [[nodiscard]] auto StoreOutageMs() const -> core::Millis;
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -29,8 +29,15 @@
 constexpr Millis kExitMarginMs = 500;
 /// Before that, time to write the answers of requests that are still open.
 constexpr Millis kAnswerMarginMs = 300;
+/// Time for a successor of this process as holder to take the term while this
+/// one still answers.
+constexpr Millis kSuccessionMs = 1000;
 constexpr Millis kIdleCheckMs = 50;
 
+auto MaxDrainMs(const EntrySettings& settings) -> Millis {
+  return std::max(settings.grace_ms - kExitMarginMs, Millis{0});
+}
+
 auto ReadText(const std::string& path) -> std::string {
   const std::ifstream file(path);
   std::ostringstream text;
@@ -149,23 +156,26 @@
     loop_.Stop();
     return;
   }
-  service_->Drain();
+  const auto now = core::SuspendAwareNow();
+  service_->Drain(now + MaxDrainMs(settings_) - kSuccessionMs);
   client_server_->CloseAfterResponses();
-  StopWhenIdle(core::SuspendAwareNow());
+  StopWhenIdle(now);
+}
+
+auto EntryProcess::IsDone() const -> bool {
+  return client_server_->pending() == 0 &&
+         service_->pending_peer_calls() == 0 && service_->HasLeft();
 }
 
 auto EntryProcess::StopWhenIdle(Millis draining_since) -> void {
   const auto elapsed = core::SuspendAwareNow() - draining_since;
-  const auto max_drain =
-      std::max(settings_.grace_ms - kExitMarginMs, Millis{0});
+  const auto max_drain = MaxDrainMs(settings_);
   const auto min_drain = std::min(kMinDrainMs, max_drain);
   if (elapsed >= max_drain - kAnswerMarginMs &&
       !std::exchange(has_closed_requests_, true)) {
     service_->CloseRequests();
   }
-  const auto is_idle =
-      client_server_->pending() == 0 && service_->pending_peer_calls() == 0;
-  if (elapsed >= max_drain || (elapsed >= min_drain && is_idle)) {
+  if (elapsed >= max_drain || (elapsed >= min_drain && IsDone())) {
     core::LogEvent(core::Event::kDrained,
                    {{"after_ms", elapsed},
                     {"calls", client_server_->pending()},
--- a/Services/Entry/entry_process.h
+++ b/Services/Entry/entry_process.h
@@ -41,6 +41,9 @@
   auto ReloadIfChanged() -> void;
   auto Drain() -> void;
   auto StopWhenIdle(core::Millis draining_since) -> void;
+  /// @return whether everything that was received is answered and the term is
+  ///     left to others.
+  [[nodiscard]] auto IsDone() const -> bool;
 
   std::string settings_path_;
   EntrySettings settings_;
--- a/Tests/LibEntry/entry_service_test.cc
+++ b/Tests/LibEntry/entry_service_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -169,6 +170,52 @@
   EXPECT_EQ(answer->epoch, heartbeat.epoch);
 }
 
+// Guards against a term that nobody may hold while all processes drain: reads
+// waited for a holder until their processes exited (review/3).
+TEST_F(EntryServiceTest, TheTermIsHeldWhileAllProcessesDrain) {
+  for (int index = 0; index < 3; ++index) {
+    Start(index, 0.25);
+  }
+  ASSERT_TRUE(RunUntil(
+      [&] { return services_[2]->PendingJobs("q").has_value(); }, 3000));
+  RunFor(1000);
+  const auto leave_by = core::SuspendAwareNow() + 4500;
+  for (const auto& service : services_) {
+    service->Drain(leave_by);
+    RunFor(100);
+  }
+  for (const auto& service : services_) {
+    answer_.reset();
+    SendRead(*service);
+    ASSERT_TRUE(RunUntil([&] { return answer_.has_value(); }, 1500));
+    EXPECT_EQ(answer_->error, core::ErrorKind::kGone);
+    EXPECT_FALSE(service->IsReady());
+  }
+  // The first process to come back takes the term over.
+  Start(3, 0.25);
+  EXPECT_TRUE(RunUntil([&] { return StoredTerm().name == "p3"; }, 3000));
+  EXPECT_TRUE(RunUntil(
+      [&] {
+        return std::all_of(
+            services_.begin(), services_.begin() + 3,
+            [](const auto& service) { return service->HasLeft(); });
+      },
+      1000));
+}
+
+// A process that drains alone leaves the term at the time it is told.
+TEST_F(EntryServiceTest, ADrainingProcessLeavesTheTermInTimeWithoutASuccessor) {
+  auto* service = Start(0, 0.25);
+  ASSERT_TRUE(
+      RunUntil([&] { return service->PendingJobs("q").has_value(); }, 2000));
+  service->Drain(core::SuspendAwareNow() + 500);
+  RunFor(400);
+  EXPECT_FALSE(service->HasLeft());
+  EXPECT_TRUE(RunUntil([&] { return service->HasLeft(); }, 400));
+  RunFor(1500);
+  EXPECT_EQ(StoredTerm().epoch, 1);
+}
+
 // Guards against requests that a process has received and drops as it exits.
 TEST_F(EntryServiceTest, AnExitingProcessAnswersAllOpenRequests) {
   store_.refuse_state_reads = true;
