LibEntry: Answer reads as before at their own deadline

Only a read that is cut short by the exit is answered as not taken: its caller can ask another VM at once.

--- a/Libraries/LibEntry/holder_client.cc
+++ b/Libraries/LibEntry/holder_client.cc
@@ -45,6 +45,9 @@
 auto HolderClient::Close() -> void {
   closed_ = true;
   for (const auto& pending : std::set(open_)) {
+    // A read changes nothing, and its caller asks elsewhere.
+    pending->outcome_unknown =
+        pending->outcome_unknown && pending->request.verb != JobVerb::kRead;
     FailRequest(pending);
   }
 }
@@ -59,13 +62,10 @@
 
 auto HolderClient::FailRequest(const std::shared_ptr<PendingRequest>& pending)
     -> void {
-  // A read changes nothing, so that it is never in doubt.
-  const auto is_in_doubt =
-      pending->outcome_unknown && pending->request.verb != JobVerb::kRead;
-  Finish(pending,
-         {is_in_doubt ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoEndpoint,
-          {},
-          true});
+  Finish(pending, {pending->outcome_unknown ? ErrorKind::kOutcomeUnknown
+                                            : ErrorKind::kNoEndpoint,
+                   {},
+                   true});
 }
 
 auto HolderClient::SendAttempt(const std::shared_ptr<PendingRequest>& pending)
