LibDispatch: Bound the searches elsewhere, and start suspects there apart

A step that waits for its rack takes no capacity, so that any number of such steps might search the whole fleet in each pass; 32 do now, the most urgent first. A suspect that gives its rack up starts on a worker of its own and counts against the slots of its job, as from the rack. Which runs are compared, and which give estimates, is told by the worker's session and for gangs alone, instead of a look at all tasks of the step for each of its runs.

--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -306,6 +306,11 @@
                    PlacementRequest& request,
                    PlanPass& pass,
                    ClockReading now) -> bool;
+  /// Places a suspect so that nothing joins it.
+  auto PlaceApart(PendingStep& pending,
+                  const Placement& placement,
+                  PlanPass& pass,
+                  ClockReading now) -> void;
   auto GuaranteedJobs() -> std::map<std::string, bool>;
   auto BuildFleetView(ClockReading now) -> FleetView;
   /// Adds the runs to the view, which only some searches need.
@@ -338,7 +343,7 @@
                       const PlacementRequest& request,
                       PlanPass& pass,
                       ClockReading now) -> void;
-  /// @return whether a run of the task is slower for the rack it is in.
+  /// @return whether a run of the task was slower for the rack it was in.
   [[nodiscard]] auto IsAwayFromRack(const Job& job,
                                     const Step& step,
                                     const Task& task) const -> bool;
--- a/Libraries/LibDispatch/dispatcher_crashes.cc
+++ b/Libraries/LibDispatch/dispatcher_crashes.cc
@@ -243,13 +243,20 @@
   if (placement.empty()) {
     return request.isolation != Isolation::kNone;
   }
-  task.isolated_since.reset();
+  PlaceApart(pending, placement, pass, now);
+  return true;
+}
+
+auto Dispatcher::PlaceApart(PendingStep& pending,
+                            const Placement& placement,
+                            PlanPass& pass,
+                            ClockReading now) -> void {
+  pending.step->tasks[pending.tasks.front()].isolated_since.reset();
   Place(pending, placement, pass.fleet, now);
   for (const auto worker : placement) {
     pass.fleet.workers[worker].is_closed = true;
   }
   --pass.suspect_slots.at(pending.job->spec.id);
-  return true;
 }
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -237,11 +237,11 @@
   if (!spec.data_rack.empty() && rack != spec.data_rack) {
     return true;
   }
-  return spec.same_rack && std::any_of(step.tasks.begin(), step.tasks.end(),
-                                       [&](const Task& other) {
-                                         return !other.worker.empty() &&
-                                                rack_of(other) != rack;
-                                       });
+  return spec.gang && spec.same_rack &&
+         std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [&](const Task& other) {
+                       return !other.worker.empty() && rack_of(other) != rack;
+                     });
 }
 
 auto Dispatcher::RecordRunTime(const Job& job,
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -32,6 +32,9 @@
 /// Runs that end within this time, about as long as a stop takes, are awaited
 /// instead of evicting others.
 constexpr core::Millis kWaitForEndMs = 300;
+/// Searches of one pass for steps that may give their rack up. Such steps take
+/// no capacity while they wait, which would bound their number.
+constexpr int kSearchesElsewhere = 32;
 /// Share of the fleet in use from which on room counts as scarce.
 constexpr double kMostInUse = 0.5;
 /// Steps that wait longer than this are logged, this often, and so many of them
@@ -422,9 +425,11 @@
   auto elsewhere = request;
   elsewhere.step = &spec;
   elsewhere.tasks = static_cast<std::int64_t>(pending.tasks.size());
-  if (pass.no_capacity.Cover(elsewhere, 0)) {
+  if (pass.searches_elsewhere >= kSearchesElsewhere ||
+      pass.no_capacity.Cover(elsewhere, 0)) {
     return;
   }
+  ++pass.searches_elsewhere;
   const auto placement = FindPlacement(pass.fleet, elsewhere);
   if (placement.empty()) {
     pass.no_capacity.Add(elsewhere, pass.has_reserved ? elsewhere.run_ms : 0,
@@ -452,7 +457,11 @@
                   {"waited_ms", waited},
                   {"run_ms", elsewhere.run_ms},
                   {"ample_room", has_ample_room}});
-  Place(pending, placement, pass.fleet, now);
+  if (pending.is_isolated) {
+    PlaceApart(pending, placement, pass, now);
+  } else {
+    Place(pending, placement, pass.fleet, now);
+  }
 }
 
 auto Dispatcher::Place(PendingStep& pending,
--- a/Libraries/LibDispatch/dispatcher_speed.cc
+++ b/Libraries/LibDispatch/dispatcher_speed.cc
@@ -41,7 +41,9 @@
       }
       const auto* step = job->FindStep(task);
       if (step != nullptr && !job->SpecOf(*step).gang) {
-        const auto is_away = IsAwayFromRack(*job, *step, *job->FindTask(task));
+        const auto& data_rack = job->SpecOf(*step).data_rack;
+        const auto is_away =
+            !data_rack.empty() && session.info().rack != data_rack;
         speeds[{job, step, is_away}].push_back({id, *run.recent_speed});
       }
     }
--- a/Libraries/LibDispatch/plan_pass.h
+++ b/Libraries/LibDispatch/plan_pass.h
@@ -16,6 +16,8 @@
   bool has_runs = false;
   /// Number of steps with reserved capacity that does not open soon.
   int reservations = 0;
+  /// Number of searches outside of the racks that steps prefer.
+  int searches_elsewhere = 0;
   /// Some capacity is reserved.
   bool has_reserved = false;
   /// How many more suspects of a job may be started, by job.
