--- a/Tests/LibNet/http_test.cc
+++ b/Tests/LibNet/http_test.cc
@@ -51,11 +51,8 @@
   EXPECT_EQ(server->pending(), 0);
 }
 
-/// Sends a text in two writes, the second once the server has read the first.
-auto SendInTwoWrites(EventLoop& loop,
-                     const core::Address& address,
-                     const std::string& text,
-                     std::size_t first_bytes) -> int {
+/// @return a connection to an address.
+auto Connect(const core::Address& address) -> int {
   sockaddr_in target{};
   target.sin_family = AF_INET;
   target.sin_port = htons(address.port);
@@ -64,6 +61,15 @@
   EXPECT_EQ(
       connect(descriptor, reinterpret_cast<sockaddr*>(&target), sizeof(target)),
       0);
+  return descriptor;
+}
+
+/// Sends a text in two writes, the second once the server has read the first.
+auto SendInTwoWrites(EventLoop& loop,
+                     const core::Address& address,
+                     const std::string& text,
+                     std::size_t first_bytes) -> int {
+  const auto descriptor = Connect(address);
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   EXPECT_EQ(write(descriptor, text.data(), first_bytes),
@@ -193,14 +199,7 @@
 
 /// Opens a connection to an address and sends a request on it.
 auto SendRaw(const core::Address& address, const std::string& text) -> int {
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
-  const auto descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  EXPECT_EQ(
-      connect(descriptor, reinterpret_cast<sockaddr*>(&target), sizeof(target)),
-      0);
+  const auto descriptor = Connect(address);
   EXPECT_EQ(write(descriptor, text.data(), text.size()),
             static_cast<ssize_t>(text.size()));
   return descriptor;
