--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -68,6 +68,9 @@
   /// A step waits for capacity; why it cannot be placed.
   kStepWaits = 338,
   kRackGivenUp = 339,
+  /// The operators let no task start in a data centre.
+  kDataCentreEvacuated = 340,
+  kDataCentreRestored = 341,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -150,8 +150,7 @@
                       {"draining", info.draining}});
     }
   }
-  health_.set_fleet_size(workers.size());
-  slow_workers_.set_fleet_size(workers.size());
+  UpdateFleetSize();
   next_plan_at_ = 0;
 }
 
@@ -246,7 +245,9 @@
     }
     ++load_.sessions;
     auto& session = found->second;
-    auto more = session.TakeCalls(now.steady, stored_, permit);
+    auto session_permit = permit;
+    session_permit.may_start = permit.may_start && !IsEvacuated(session.info());
+    auto more = session.TakeCalls(now.steady, stored_, session_permit);
     std::move(more.begin(), more.end(), std::back_inserter(calls));
     call_schedule_.Set(worker, session.NextCallAt(stored_));
     if (session.AwaitsStore(stored_)) {
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -84,6 +84,11 @@
   auto SetFleet(const std::vector<WorkerInfo>& workers, ClockReading now)
       -> void;
 
+  /// Replaces the evacuated data centres. No task is started there until they
+  /// are taken back; starts that no worker has confirmed are withdrawn.
+  auto SetEvacuated(std::set<std::string> data_centres, ClockReading now)
+      -> void;
+
   /// Accepts a job; returns the existing job if its id is known.
   [[nodiscard]] auto Submit(JobSpec spec, ClockReading now) -> JobView;
   /// @return the current state of the job, or nothing if it is unknown.
@@ -140,6 +145,9 @@
       -> const std::map<std::string, WorkerSession>& {
     return sessions_;
   }
+  [[nodiscard]] auto evacuated() const -> const std::set<std::string>& {
+    return evacuated_;
+  }
 
  private:
   /// Waiting tasks of one step.
@@ -253,6 +261,17 @@
       -> void;
   auto EndJob(Job& job, JobPhase phase, ClockReading now) -> void;
 
+  /// @return whether the worker's data centre is evacuated.
+  [[nodiscard]] auto IsEvacuated(const WorkerInfo& worker) const -> bool {
+    return evacuated_.contains(worker.data_centre);
+  }
+  /// Stops the runs on evacuated workers that have not begun; of a gang with
+  /// such a run all, since the others would wait for it.
+  /// @return the number of these runs.
+  auto WithdrawEvacuatedStarts(ClockReading now) -> std::size_t;
+  /// Sets the number of workers that rules on parts of the fleet refer to.
+  auto UpdateFleetSize() -> void;
+
   auto AdvanceTimers(ClockReading now) -> void;
   /// Checks all sessions for what only the passing of time changes.
   auto WatchSessions(ClockReading now) -> void;
@@ -373,6 +392,7 @@
   CallSchedule call_schedule_;
   std::map<std::string, QueuePolicy> queues_;
   std::map<std::string, std::int64_t> guarantees_;
+  std::set<std::string> evacuated_;
   WorkerHealth health_;
   SlowWorkers slow_workers_;
   core::Millis next_speeds_at_ = 0;
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -265,7 +265,8 @@
   const auto avoids_slow = slow_workers_.MayAvoid(now.steady);
   for (const auto& [id, session] : sessions_) {
     ++load_.workers;
-    if (!session.is_usable() || health_.IsCordoned(id, now.steady) ||
+    if (!session.is_usable() || IsEvacuated(session.info()) ||
+        health_.IsCordoned(id, now.steady) ||
         (avoids_slow && slow_workers_.IsSlow(id, now.steady))) {
       continue;
     }
--- a/Libraries/LibDispatch/stop_cause.h
+++ b/Libraries/LibDispatch/stop_cause.h
@@ -13,6 +13,8 @@
   kEvicted,
   /// Its worker leaves before the run can end.
   kWorkerLeaves,
+  /// It had not begun when its worker's data centre was evacuated.
+  kEvacuated,
   /// Its worker works much slower than others.
   kSlow,
   kHung,
@@ -30,9 +32,10 @@
 template <>
 struct kcm::core::EnumNames<kcm::dispatch::StopCause> {
   using Enum = kcm::dispatch::StopCause;
-  static constexpr std::array<EnumName<Enum>, 7> kRows = {{
+  static constexpr std::array<EnumName<Enum>, 8> kRows = {{
       {Enum::kEvicted, "evicted"},
       {Enum::kWorkerLeaves, "worker_leaves"},
+      {Enum::kEvacuated, "evacuated"},
       {Enum::kSlow, "slow"},
       {Enum::kHung, "hung"},
       {Enum::kGangBroken, "gang_broken"},
--- a/Libraries/LibDispatch/term_permit.h
+++ b/Libraries/LibDispatch/term_permit.h
@@ -11,6 +11,8 @@
   /// When the newest append that the store accepted was first sent, on the
   /// steady clock: no successor had claimed the term by then.
   core::Millis confirmed_at = 0;
+  /// Tasks may be started: it is known which data centres are evacuated.
+  bool may_start = true;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -303,7 +303,7 @@
     // A successor may have found the run absent and placed the task elsewhere,
     // and a worker that was reborn since has forgotten the successor's fence.
     const auto may_start =
-        permit.may_renew &&
+        permit.may_renew && permit.may_start &&
         (!run.start_unanswered ||
          permit.confirmed_at >= run.next_call_at - kRepeatMs);
     if (run.phase == RunPhase::kStarting && run.batch <= stored && may_start) {
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -24,6 +24,10 @@
 /// How long the store may hold a read of the configuration. A change that it
 /// does not announce is found after this time at the latest.
 constexpr Millis kOperatorsWaitMs = 1000;
+/// A holder whose newest read of the operators' table is older reads it again
+/// without waiting for changes: more than a read that the store may hold and
+/// its round trip.
+constexpr Millis kMaxOperatorsAgeMs = 1500;
 /// Reads of the term by which at least one round trip is not prolonged by load.
 constexpr int kMinTermReads = 5;
 /// A longer round trip to the store means that it is in another region.
@@ -81,8 +85,8 @@
   service->operators_follower_ = std::make_unique<TableFollower>(
       dependencies.loop, dependencies.store,
       FollowSettings{platform::Table::kConfiguration, kOperatorsWaitMs, 0},
-      [raw](const RowBatch& batch) { raw->OnOperatorRows(batch.rows); },
-      [raw] { raw->routes_confirmation_.OnRead(); });
+      [raw](const RowBatch& batch) { raw->OnOperatorRows(batch); },
+      [raw] { raw->OnOperatorsRead(); });
   service->peers_.OnNewerRoutes(
       [raw](const core::Address& peer) { raw->FetchRoutes(peer); });
   dependencies.loop.Every(kTickMs, [raw] { raw->RunDueWork(); });
@@ -94,6 +98,7 @@
                            const EntrySettings& settings)
     : dependencies_(dependencies),
       settings_(settings),
+      evacuations_(dependencies.decoders.decode_evacuation_key),
       heartbeat_port_(dependencies.http),
       peers_(heartbeat_port_,
              settings,
@@ -235,6 +240,10 @@
     holder.StepDown();
     return;
   }
+  if (settings_.evacuate_ms > 0 &&
+      now - operators_follower_->current_as_of() > kMaxOperatorsAgeMs) {
+    operators_follower_->ReadNow();
+  }
   holder.RunDueWork();
   if (LeavesTerm(now) && holder_.get() == &holder) {
     ResignTerm(holder);
@@ -336,6 +345,7 @@
   won_claim_.rows.clear();
   held_since_ = core::SuspendAwareNow();
   holder_->SetRoutes(routes_);
+  UpdateEvacuations(*holder_);
   holder_->Start();
   peers_.BroadcastHeartbeat();
 }
@@ -414,9 +424,23 @@
   dependencies_.loop.After(0, [ended = std::exchange(holder_, nullptr)] {});
 }
 
-auto EntryService::OnOperatorRows(const std::vector<dispatch::StateRow>& rows)
-    -> void {
-  for (const auto& row : rows) {
+auto EntryService::OnOperatorsRead() -> void {
+  routes_confirmation_.OnRead();
+  if (holder_ != nullptr) {
+    holder_->SetEvacuationsCurrentAsOf(operators_follower_->current_as_of());
+  }
+}
+
+auto EntryService::UpdateEvacuations(TermHolder& holder) const -> void {
+  holder.SetEvacuated(evacuations_.DataCentres());
+  holder.SetEvacuationsCurrentAsOf(operators_follower_->current_as_of());
+}
+
+auto EntryService::OnOperatorRows(const RowBatch& batch) -> void {
+  if (evacuations_.Apply(batch, core::WallNow()) && holder_ != nullptr) {
+    holder_->SetEvacuated(evacuations_.DataCentres());
+  }
+  for (const auto& row : batch.rows) {
     if (row.key != dependencies_.decoders.configuration_key ||
         row.value.empty()) {
       continue;
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -11,6 +11,7 @@
 #include "LibEntry/client_request_handler.h"
 #include "LibEntry/election.h"
 #include "LibEntry/entry_settings.h"
+#include "LibEntry/evacuation_table.h"
 #include "LibEntry/handover_policy.h"
 #include "LibEntry/holder_client.h"
 #include "LibEntry/http_heartbeat_port.h"
@@ -117,7 +118,12 @@
   auto AbandonRecovery() -> void;
   auto OnTermLost() -> void;
   auto ReadStoredTerm() -> void;
-  auto OnOperatorRows(const std::vector<dispatch::StateRow>& rows) -> void;
+  auto OnOperatorRows(const RowBatch& batch) -> void;
+  /// The store has answered a read of the operators' table, whose rows are
+  /// applied.
+  auto OnOperatorsRead() -> void;
+  /// Passes the evacuated data centres to the holder.
+  auto UpdateEvacuations(TermHolder& holder) const -> void;
   auto ApplyNewerRoutes(RouteTable routes, const std::string& source) -> void;
   auto FetchRoutes(const core::Address& peer) -> void;
   auto OnPeerRequest(const net::HttpRequest& request,
@@ -130,6 +136,7 @@
   EntryDependencies dependencies_;
   EntrySettings settings_;
   RouteTable routes_;
+  EvacuationTable evacuations_;
   /// Any call of the holder, or of the peers, may end the term and reset this.
   /// A function that makes one and goes on with the holder takes it as an
   /// argument.
--- a/Libraries/LibEntry/entry_settings.h
+++ b/Libraries/LibEntry/entry_settings.h
@@ -32,6 +32,9 @@
   std::vector<core::Address> seeds;
   /// Time between SIGTERM and the end of the process.
   core::Millis grace_ms = 6000;
+  /// No task may be started in a data centre that was evacuated longer ago;
+  /// zero if there is no such bound.
+  core::Millis evacuate_ms = 0;
   dispatch::DispatchSettings dispatch;
 };
 
--- a/Libraries/LibEntry/platform_decoders.h
+++ b/Libraries/LibEntry/platform_decoders.h
@@ -21,6 +21,10 @@
                                                     const std::string& text,
                                                     core::Reason& reason)>
       decode_worker;
+  /// @return the data centre that a row of the operators' table evacuates;
+  ///     nothing for any other row. Empty if there are no such rows.
+  std::function<std::optional<std::string>(const std::string& key)>
+      decode_evacuation_key;
 };
 
 }  // namespace kcm::entry
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -63,6 +63,9 @@
 /// call is retried this much later.
 constexpr Millis kCallTimeoutMs = 600;
 constexpr Millis kPollTimeoutMs = 800;
+/// A start that is sent this long before it would be too late for an evacuated
+/// data centre has reached its worker by then or is given up.
+constexpr Millis kStartMarginMs = kCallTimeoutMs + 400;
 /// Time after which an attempt to append has failed, by the number of failures
 /// so far. Its copies may still be answered.
 constexpr std::array<Millis, 4> kAppendTimeoutsMs = {400, 600, 1200, 2500};
@@ -93,7 +96,8 @@
       fleet_(dependencies.decoders),
       sequence_(claim.sequence),
       confirmed_at_(claim.confirmed_at),
-      term_row_at_(claim.confirmed_at) {
+      term_row_at_(claim.confirmed_at),
+      evacuate_ms_(settings.evacuate_ms) {
   dispatcher_.Recover(claim.rows, LeasesOfFormerHolders(settings, claim));
 }
 
@@ -110,6 +114,7 @@
 
 auto TermHolder::SetSettings(const EntrySettings& settings) -> void {
   dispatcher_.set_settings(settings.dispatch);
+  evacuate_ms_ = settings.evacuate_ms;
 }
 
 auto TermHolder::SetRoutes(const RouteTable& routes) -> void {
@@ -117,6 +122,11 @@
   dispatcher_.SetGuarantees(routes.guarantees);
 }
 
+auto TermHolder::SetEvacuated(std::set<std::string> data_centres) -> void {
+  dispatcher_.SetEvacuated(std::move(data_centres), ReadClocks());
+  RequestPass();
+}
+
 auto TermHolder::OnFleetRows(const RowBatch& batch) -> void {
   if (!fleet_.Apply(batch, core::SuspendAwareNow())) {
     return;
@@ -167,7 +177,8 @@
 auto TermHolder::SendWorkerCalls() -> void {
   const auto now = ReadClocks();
   const dispatch::TermPermit permit{
-      now.steady - term_row_at_ < kMaxUnconfirmedMs, confirmed_at_};
+      now.steady - term_row_at_ < kMaxUnconfirmedMs, confirmed_at_,
+      MayStart(now.steady)};
   for (auto& call : dispatcher_.TakeCalls(now, permit)) {
     const auto is_poll =
         std::holds_alternative<dispatch::PollCall>(call.command);
@@ -192,6 +203,12 @@
   }
 }
 
+auto TermHolder::MayStart(Millis now) const -> bool {
+  return evacuate_ms_ == 0 ||
+         now - evacuations_current_as_of_ <
+             evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2);
+}
+
 auto TermHolder::StartNextAppend(Millis now) -> void {
   if (append_) {
     return;
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -57,6 +57,13 @@
 
   auto SetSettings(const EntrySettings& settings) -> void;
   auto SetRoutes(const RouteTable& routes) -> void;
+  /// Replaces the evacuated data centres, in which no task is started.
+  auto SetEvacuated(std::set<std::string> data_centres) -> void;
+  /// Sets as of when they are known, on the suspend-aware clock. No task is
+  /// started if that is too long ago; see EntrySettings::evacuate_ms.
+  auto SetEvacuationsCurrentAsOf(core::Millis time) -> void {
+    evacuations_current_as_of_ = time;
+  }
 
   /// Answers a submission or cancellation after its rows are stored, and a read
   /// at once: an end that is not stored yet is reported as running. That a job
@@ -161,6 +168,9 @@
       -> void;
   /// Notices that this process was paused, as its last event is long ago.
   auto CheckPause() -> void;
+  /// @return whether the evacuated data centres are known well enough to start
+  ///     tasks.
+  [[nodiscard]] auto MayStart(core::Millis now) const -> bool;
   auto SendWorkerCalls() -> void;
   auto LogDecisions() -> void;
   auto LoseTerm() -> void;
@@ -232,6 +242,9 @@
   /// When the last stored row of the term was written. Leases are granted for
   /// a limited time after it.
   core::Millis term_row_at_;
+  /// See EntrySettings::evacuate_ms.
+  core::Millis evacuate_ms_;
+  core::Millis evacuations_current_as_of_ = 0;
   bool renew_now_ = false;
   bool pass_requested_ = false;
   core::Millis last_pass_at_ = 0;
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -197,6 +197,7 @@
         rows, {now + lapse_after, now, 0, std::exchange(term_witnesses_, {})});
     dispatcher_->SetQueues(Queues());
     dispatcher_->SetGuarantees(guarantees);
+    dispatcher_->SetEvacuated(evacuated, Now());
     invariants.OnNewHolder();
   }
 
@@ -205,6 +206,11 @@
     dispatcher_->SetGuarantees(std::move(guaranteed));
   }
 
+  auto SetEvacuated(std::set<std::string> data_centres) -> void {
+    evacuated = data_centres;
+    dispatcher_->SetEvacuated(std::move(data_centres), Now());
+  }
+
   auto Run(core::Millis span) -> void {
     for (const auto end = now + span; now < end;) {
       Advance();
@@ -292,6 +298,9 @@
   std::set<std::string> unreachable_for_newest;
   std::map<std::string, std::string> stored_rows;
   std::map<std::string, std::int64_t> guarantees;
+  std::set<std::string> evacuated;
+  /// What the newest holder knows of evacuations is too old to start tasks.
+  bool holds_starts = false;
   /// Gang members that ended because the others did not start in time.
   int gang_timeouts = 0;
   InvariantCheck invariants{Queues()};
@@ -399,8 +408,8 @@
 
   auto AdvanceHolder() -> void {
     const auto may_renew = now - term_row_at_ < kMaxUnconfirmedMs;
-    for (const auto& call :
-         dispatcher_->TakeCalls(Now(), {may_renew, confirmed_at_})) {
+    for (const auto& call : dispatcher_->TakeCalls(
+             Now(), {may_renew, confirmed_at_, !holds_starts})) {
       if (on_call) {
         on_call(call);
       }
