--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -150,6 +150,8 @@
                       {"draining", info.draining}});
     }
   }
+  // A listing may show another data centre than before.
+  WithdrawEvacuatedStarts(now);
   UpdateFleetSize();
   next_plan_at_ = 0;
 }
--- a/Libraries/LibDispatch/dispatcher_evacuation.cc
+++ b/Libraries/LibDispatch/dispatcher_evacuation.cc
@@ -34,6 +34,9 @@
 
 auto Dispatcher::WithdrawEvacuatedStarts(ClockReading now) -> std::size_t {
   std::vector<TaskId> not_begun;
+  if (evacuated_.empty()) {
+    return 0;
+  }
   for (const auto& [id, session] : sessions_) {
     if (!IsEvacuated(session.info())) {
       continue;
--- a/Tests/LibDispatch/evacuation_test.cc
+++ b/Tests/LibDispatch/evacuation_test.cc
@@ -28,7 +28,8 @@
     simulation_.Run(1000);
   }
 
-  auto RunningIn(const std::string& data_centre) const -> std::size_t {
+  [[nodiscard]] auto RunningIn(const std::string& data_centre) const
+      -> std::size_t {
     std::size_t count = 0;
     for (const auto& [id, worker] : simulation_.workers) {
       count +=
@@ -37,7 +38,7 @@
     return count;
   }
 
-  auto IsDone(const std::string& job) const -> bool {
+  [[nodiscard]] auto IsDone(const std::string& job) const -> bool {
     return simulation_.PhaseOf(job) == JobPhase::kCompleted;
   }
 
@@ -178,5 +179,30 @@
   ExpectSound();
 }
 
+// A listing moved a worker into an evacuated data centre after a task was
+// placed there. The start was neither sent nor withdrawn, so that the task
+// waited until the data centre was taken back.
+TEST_F(EvacuationTest, StartsAreWithdrawnIfTheirWorkerIsListedThereLater) {
+  simulation_.SetEvacuated({"c"});
+  simulation_.holds_starts = true;
+  simulation_.Submit("job", "batch", {DispatchSimulation::Step(1, 8, 1000)});
+  simulation_.Submit("gang", "batch", {DispatchSimulation::Gang(2, 8, 1000)});
+  simulation_.Run(300);
+  int moved = 0;
+  for (const auto& [id, session] : simulation_.dispatcher().sessions()) {
+    if (!session.is_idle() && moved < 2) {
+      ++moved;
+      simulation_.workers.at(id).info().data_centre = "c";
+    }
+  }
+  ASSERT_EQ(moved, 2);
+  simulation_.Run(500);
+  simulation_.holds_starts = false;
+  EXPECT_TRUE(simulation_.RunUntil(
+      [&] { return IsDone("job") && IsDone("gang"); }, 10000));
+  EXPECT_EQ(simulation_.gang_timeouts, 0);
+  ExpectSound();
+}
+
 }  // namespace
 }  // namespace kcm::dispatch
