--- a/Libraries/LibEntry/table_follower.cc
+++ b/Libraries/LibEntry/table_follower.cc
@@ -44,8 +44,11 @@
           return;
         }
         alive->read_now_in_flight = false;
-        // What else may have happened is found by the other read.
-        if (read.answered && read.first_offset <= alive->offset) {
+        // What else may have happened is found by the other read. During a
+        // listing the offset is the one of its first page, whose rows and those
+        // of the later pages are not passed on yet.
+        if (read.answered && alive->reads_changes &&
+            read.first_offset <= alive->offset) {
           ApplyChanges(alive, sent, std::move(read));
         }
       });
