--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -204,9 +204,12 @@
 }
 
 auto TermHolder::MayStart(Millis now) const -> bool {
+  // The steady clock of a machine that was just switched on is close to zero,
+  // which is the time of no read.
   return evacuate_ms_ == 0 ||
-         now - evacuations_current_as_of_ <
-             evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2);
+         (evacuations_current_as_of_ > 0 &&
+          now - evacuations_current_as_of_ <
+              evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2));
 }
 
 auto TermHolder::StartNextAppend(Millis now) -> void {
--- a/Tests/LibEntry/fake_store.h
+++ b/Tests/LibEntry/fake_store.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -65,6 +66,9 @@
       const auto& log = tables[table];
       read.rows.assign(log.begin(), log.end());
       read.end_offset = static_cast<std::int64_t>(log.size());
+      read.truncated = without_last_page.contains(table) && after.empty();
+      read.answered = !refuse && !unreadable_tables.contains(table) &&
+                      (after.empty() || !without_last_page.contains(table));
     }
     if (unreadable_pages > 0) {
       --unreadable_pages;
@@ -81,7 +85,7 @@
                 ReadDone done) -> void override {
     std::ignore = timeout;
     platform::TableReadResult read;
-    read.answered = !refuse;
+    read.answered = !refuse && !unreadable_tables.contains(table);
     const auto& log = tables[table];
     read.end_offset = static_cast<std::int64_t>(log.size());
     for (auto index = static_cast<std::size_t>(offset);
@@ -108,6 +112,11 @@
   bool delay_reads = false;
   /// Reads of more than the term's row fail.
   bool refuse_state_reads = false;
+  /// Reads of these tables fail.
+  std::set<platform::Table> unreadable_tables;
+  /// A listing of these tables goes on after its first page, and the read of
+  /// the next one fails.
+  std::set<platform::Table> without_last_page;
   /// The next pages of newest rows have none that can be read, and are not the
   /// last ones.
   int unreadable_pages = 0;
--- a/Tests/LibEntry/term_holder_fixture.h
+++ b/Tests/LibEntry/term_holder_fixture.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "LibEntry/term_holder.h"
@@ -26,6 +27,7 @@
     std::ignore = std::tuple(fence, timeout);
     sent_at.insert(call.sent_at);
     ++calls;
+    starts += std::holds_alternative<dispatch::StartCall>(call.command) ? 1 : 0;
     open.push_back(std::move(done));
   }
 
@@ -36,6 +38,8 @@
   /// When the calls were issued; those of one pass share the time.
   std::set<core::Millis> sent_at;
   std::size_t calls = 0;
+  /// Those that start a task.
+  std::size_t starts = 0;
 };
 
 /// A holder of term 1 with a store and workers in memory.
