--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -245,6 +245,35 @@
         ConfigurationCase{"LimitsNumber", "", R"(,"limits":7)"}),
     [](const auto& info) { return info.param.name; });
 
+struct EvacuationKeyCase {
+  const char* name;
+  const char* key;
+  std::optional<std::string> data_centre;
+};
+
+class EvacuationKeys : public testing::TestWithParam<EvacuationKeyCase> {};
+
+// Guards against an evacuation that is overlooked, or read from another row.
+TEST_P(EvacuationKeys, NameTheDataCentre) {
+  EXPECT_EQ(DecodeEvacuationKey(GetParam().key), GetParam().data_centre);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Keys,
+    EvacuationKeys,
+    testing::Values(
+        EvacuationKeyCase{"Plain", "evacuate/zone-a", "zone-a"},
+        EvacuationKeyCase{"WithSlash", "evacuate/north/1", "north/1"},
+        EvacuationKeyCase{"WithBlank", "evacuate/zone a", "zone a"},
+        EvacuationKeyCase{"OwnPrefix", "evacuate/evacuate/", "evacuate/"},
+        EvacuationKeyCase{"NoName", "evacuate/", std::nullopt},
+        EvacuationKeyCase{"NoSlash", "evacuate", std::nullopt},
+        EvacuationKeyCase{"OtherCase", "Evacuate/zone-a", std::nullopt},
+        EvacuationKeyCase{"Within", "x/evacuate/zone-a", std::nullopt},
+        EvacuationKeyCase{"Configuration", "config", std::nullopt},
+        EvacuationKeyCase{"Empty", "", std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(Records, AreDecodedAsEncoded) {
   const std::vector<dispatch::StateRow> rows = {{"a", "1"}, {"b", ""}};
   const std::string offsets("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x07", 16);
@@ -339,6 +368,12 @@
         NodeCase{"FasterElsewhere", "checkpoint_s = 2",
                  "checkpoint_s = 2\nremote_factor = 0.5",
                  "bounds.remote_factor", "line 19"},
+        NodeCase{"NegativeEvacuation", "checkpoint_s = 2",
+                 "checkpoint_s = 2\nevacuate_ms = -1", "bounds.evacuate_ms",
+                 "line 19"},
+        NodeCase{"EvacuationOfWrongType", "checkpoint_s = 2",
+                 "checkpoint_s = 2\nevacuate_ms = \"5000\"",
+                 "bounds.evacuate_ms", "line 19"},
         NodeCase{"NegativeHeartbeat", "ip = \"127.0.0.1\"",
                  "ip = \"127.0.0.1\"\nheartbeat_ms = -1", "heartbeat_ms",
                  "line 5"},
@@ -394,6 +429,31 @@
                     RemoteCase{"missing", "", 3}),
     [](const auto& info) { return info.param.name; });
 
+struct EvacuateCase {
+  const char* name;
+  const char* line;
+  core::Millis evacuate_ms;
+};
+
+class NodeEvacuation : public testing::TestWithParam<EvacuateCase> {};
+
+// A default would keep every task from starting where no operator's table can
+// be read.
+TEST_P(NodeEvacuation, HasNoBoundUnlessTheFileGivesIt) {
+  core::Reason reason;
+  const auto settings =
+      ReadNodeText(std::string(kNodeText) + GetParam().line, reason);
+  ASSERT_TRUE(settings) << reason.message;
+  EXPECT_EQ(settings->evacuate_ms, GetParam().evacuate_ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines,
+    NodeEvacuation,
+    testing::Values(EvacuateCase{"given", "evacuate_ms = 5000\n", 5000},
+                    EvacuateCase{"missing", "", 0}),
+    [](const auto& info) { return info.param.name; });
+
 struct CapacityCase {
   const char* name;
   const char* limits;
