--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -49,6 +49,10 @@
   /// Time from the start of a worker until it is listed, and from a crash until
   /// the worker is listed no more.
   static constexpr core::Millis kListingMs = 300;
+  /// Time between two listings of all workers.
+  static constexpr core::Millis kListingPeriodMs = 400;
+  /// A holder whose read of the evacuations is older starts nothing.
+  static constexpr core::Millis kMaxEvacuationAgeMs = 4000;
   static constexpr core::Millis kUnlistedAfterMs = 4500;
   /// Bound on the time from the last heartbeat of a worker that leaves to the
   /// deletion of its listing, as far as the holder can tell.
@@ -207,10 +211,22 @@
   }
 
   auto SetEvacuated(std::set<std::string> data_centres) -> void {
+    for (const auto& data_centre : data_centres) {
+      if (!evacuated.contains(data_centre)) {
+        evacuated_at_[data_centre] = now;
+      }
+    }
     evacuated = data_centres;
     dispatcher_->SetEvacuated(std::move(data_centres), Now());
   }
 
+  /// Lists a worker in another data centre from the next listing on.
+  auto MoveWorker(const std::string& id, const std::string& data_centre)
+      -> void {
+    workers.at(id).info().data_centre = data_centre;
+    moved_at_[id] = now;
+  }
+
   auto Run(core::Millis span) -> void {
     for (const auto end = now + span; now < end;) {
       Advance();
@@ -378,7 +394,7 @@
       scheduled_.erase(scheduled_.begin() + static_cast<std::ptrdiff_t>(index));
       action();
     }
-    if (now % 400 == 0) {
+    if (now % kListingPeriodMs == 0) {
       ListWorkers();
     }
     if (!is_vacant) {
@@ -461,6 +477,26 @@
     }
   }
 
+  /// Checks that a start that a worker begins was sent before its data centre
+  /// was evacuated, or by a former holder that could not know of that yet.
+  auto CheckEvacuation(const WorkerCall& call, std::int64_t token) -> void {
+    const auto& info = workers.at(call.worker).info();
+    if (!evacuated.contains(info.data_centre)) {
+      return;
+    }
+    auto known_at = evacuated_at_[info.data_centre];
+    if (const auto moved = moved_at_.find(call.worker);
+        moved != moved_at_.end()) {
+      known_at = std::max(known_at, moved->second + kListingPeriodMs);
+    }
+    const auto excused_for = token == fence ? 0 : kMaxEvacuationAgeMs;
+    if (call.sent_at > known_at + excused_for) {
+      invariants.violations.push_back(
+          "a start in evacuated " + info.data_centre + " by " +
+          std::to_string(token) + " at " + std::to_string(now));
+    }
+  }
+
   /// Checks that the holder grants no lease while it has a stored lease row.
   auto CheckGrant(const WorkerCall& call) -> void {
     const auto* poll = std::get_if<PollCall>(&call.command);
@@ -765,6 +801,7 @@
       const FakeWork work{need, step.demand, step.checkpoints, step.gang};
       if (worker.Start(*start, token, work, now, result)) {
         invariants.OnStart(*start, running, now);
+        CheckEvacuation(call, token);
         if (verbose) {
           std::cout << now << " begin " << start->task.job << "."
                     << start->task.step << "." << start->task.index
@@ -814,6 +851,10 @@
   std::set<std::string> listed_ids_;
   /// When the newest value of a row was stored, by key.
   std::map<std::string, core::Millis> stored_at_;
+  /// When the newest holder learnt of an evacuation, and when workers changed
+  /// their data centre.
+  std::map<std::string, core::Millis> evacuated_at_;
+  std::map<std::string, core::Millis> moved_at_;
   std::vector<ScheduledAction> scheduled_;
   bool storing_ = false;
   bool storing_term_row_ = false;
--- a/Tests/LibDispatch/dispatcher_random_test.cc
+++ b/Tests/LibDispatch/dispatcher_random_test.cc
@@ -3,8 +3,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <cstdlib>
+#include <optional>
 
 #include "dispatch_simulation.h"
+#include "random_evacuations.h"
 
 namespace kcm::dispatch {
 namespace {
@@ -21,6 +23,8 @@
   bool failures;
   /// Most ends that a worker lists in one answer.
   std::size_t listed_ends = 500;
+  /// Data centres are evacuated and returned to service.
+  bool evacuations = false;
 };
 
 /// Runs fifteen jobs under random faults; the simulation checks the invariants
@@ -46,6 +50,10 @@
     worker.set_stop_grace(kind.failures ? 150 : 0);
     worker.set_max_listed_ends(kind.listed_ends);
   }
+  std::optional<RandomEvacuations> evacuations;
+  if (kind.evacuations) {
+    evacuations.emplace(simulation, seed);
+  }
   simulation.faults.lost = pick(0, 2) * 0.1;
   simulation.faults.delayed = pick(0, 2) * 0.05;
   const std::vector<std::string> queues = {"urgent", "batch", "idle"};
@@ -89,12 +97,18 @@
       default:
         break;
     }
+    if (evacuations) {
+      evacuations->Step();
+    }
     simulation.workers.at(worker).set_fails(one_in(3));
     simulation.Run(pick(100, 1500));
   }
   for (auto& [id, each] : simulation.workers) {
     each.set_fails(false);
   }
+  if (evacuations) {
+    evacuations->End();
+  }
   simulation.unreachable.clear();
   simulation.store_up = true;
   simulation.faults = {};
@@ -117,6 +131,9 @@
 /// Answers of workers have room for one end, or for two.
 constexpr HistoryKind kOneEnd = {"OneEnd", false, 1};
 constexpr HistoryKind kTwoEnds = {"TwoEnds", true, 2};
+constexpr HistoryKind kEvacuations = {"Evacuations", false, 500, true};
+constexpr HistoryKind kFailuresInEvacuations = {"FailuresInEvacuations", true,
+                                                500, true};
 
 RC_GTEST_PROP(DispatcherRandom, KeepsItsInvariantsUnderFaults, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -128,6 +145,16 @@
   RC_ASSERT(violations.empty());
 }
 
+RC_GTEST_PROP(DispatcherRandom, KeepsItsInvariantsInEvacuations, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+  const auto kind = *rc::gen::element(kEvacuations, kFailuresInEvacuations);
+  const auto violations = PlayHistory(seed, kind, false);
+  for (const auto& violation : violations) {
+    RC_LOG() << kind.name << " " << violation << "\n";
+  }
+  RC_ASSERT(violations.empty());
+}
+
 class DispatcherSeeds
     : public testing::TestWithParam<std::tuple<HistoryKind, std::uint32_t>> {};
 
@@ -157,6 +184,18 @@
                                   std::to_string(std::get<1>(info.param));
                          });
 
+// Guards against starts in evacuated data centres, and against tasks that are
+// never started because one was evacuated before they began.
+INSTANTIATE_TEST_SUITE_P(
+    InEvacuations,
+    DispatcherSeeds,
+    testing::Combine(testing::Values(kEvacuations, kFailuresInEvacuations),
+                     testing::Range(0U, 100U)),
+    [](const auto& info) {
+      return std::string(std::get<0>(info.param).name) +
+             std::to_string(std::get<1>(info.param));
+    });
+
 // Found by 1,500 random histories each.
 INSTANTIATE_TEST_SUITE_P(
     FoundByRandomHistories,
--- a/Tests/LibDispatch/dispatcher_takeover_test.cc
+++ b/Tests/LibDispatch/dispatcher_takeover_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "dispatch_simulation.h"
+#include "random_evacuations.h"
 
 namespace kcm::dispatch {
 namespace {
@@ -125,5 +126,46 @@
                     TakeoverCase{"ShortlyBeforeTheEndOfTheLease", 6000, 60000}),
     [](const auto& info) { return info.param.name; });
 
+class EvacuationTakeovers : public testing::TestWithParam<std::uint32_t> {};
+
+// Guards against starts in evacuated data centres by a new holder, and against
+// tasks that no holder starts any more. Former holders that are cut off go on
+// for a while, also from a state that does not show the evacuation.
+TEST_P(EvacuationTakeovers, StartNothingInEvacuatedDataCentres) {
+  DispatchSimulation simulation(GetParam());
+  simulation.AddWorkers(9, 3);
+  RandomEvacuations evacuations(simulation, GetParam());
+  simulation.faults.lost = evacuations.Pick(0, 2) * 0.1;
+  simulation.Run(1000);
+  constexpr int kTakeovers = 8;
+  for (int number = 0; number < kTakeovers; ++number) {
+    auto step = DispatchSimulation::Step(evacuations.Pick(1, 6), 8,
+                                         evacuations.Pick(200, 3000));
+    step.gang = evacuations.Pick(0, 1) == 0;
+    simulation.Submit("job" + std::to_string(number), "batch", {step});
+    evacuations.Step();
+    simulation.Run(evacuations.Pick(0, 1500));
+    simulation.ReplaceHolder(
+        LastLeaseSpan(),
+        evacuations.Pick(0, 1) == 0 ? 0 : evacuations.Pick(500, 4000));
+    evacuations.Step();
+    simulation.Run(evacuations.Pick(0, 1500));
+  }
+  evacuations.End();
+  simulation.faults = {};
+  for (int number = 0; number < kTakeovers; ++number) {
+    const auto job = "job" + std::to_string(number);
+    // A job that was not stored before a takeover was not accepted.
+    const auto has_ended = [&] {
+      const auto view = simulation.dispatcher().FindJob(job);
+      return !view || IsEnded(view->phase);
+    };
+    EXPECT_TRUE(simulation.RunUntil(has_ended, 60000)) << job;
+  }
+  EXPECT_EQ(simulation.invariants.violations, std::vector<std::string>{});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, EvacuationTakeovers, testing::Range(0U, 100U));
+
 }  // namespace
 }  // namespace kcm::dispatch
