--- a/Libraries/LibDispatch/term_permit.h
+++ b/Libraries/LibDispatch/term_permit.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "LibCore/clock.h"
 
 namespace kcm::dispatch {
@@ -13,6 +15,9 @@
   core::Millis confirmed_at = 0;
   /// Tasks may be started: it is known which data centres are evacuated.
   bool may_start = true;
+  /// A worker must not begin a task later than this, on the steady clock;
+  /// nothing if there is no such bound.
+  std::optional<core::Millis> starts_until{};
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/worker_session.cc
+++ b/Libraries/LibDispatch/worker_session.cc
@@ -308,8 +308,16 @@
          permit.confirmed_at >= run.next_call_at - kRepeatMs);
     if (run.phase == RunPhase::kStarting && run.batch <= stored && may_start) {
       auto call = MakeCall(now);
+      auto lease_until = GrantLease(now);
+      if (permit.starts_until) {
+        // A worker refuses a start whose lease has expired, so that one which
+        // arrives late, after a pause of this process or a lost segment, does
+        // not begin. A poll grants the rest of the lease.
+        lease_until =
+            std::min(lease_until, clock_.Earliest(*permit.starts_until));
+      }
       call.command = StartCall{task, run.attempt, run.payload, run.checkpoint,
-                               GrantLease(now)};
+                               lease_until};
       run.start_sent = true;
       run.call_in_flight = true;
       calls.push_back(std::move(call));
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -178,7 +178,10 @@
   const auto now = ReadClocks();
   const dispatch::TermPermit permit{
       now.steady - term_row_at_ < kMaxUnconfirmedMs, confirmed_at_,
-      MayStart(now.steady)};
+      MayStart(now.steady),
+      evacuate_ms_ == 0
+          ? std::nullopt
+          : std::optional(evacuations_current_as_of_ + evacuate_ms_)};
   for (auto& call : dispatcher_.TakeCalls(now, permit)) {
     const auto is_poll =
         std::holds_alternative<dispatch::PollCall>(call.command);
--- a/Tests/LibDispatch/worker_session_test.cc
+++ b/Tests/LibDispatch/worker_session_test.cc
@@ -75,6 +75,43 @@
   EXPECT_EQ(session.OnPoll(immediate, Report({"other"}), 320, 330).size(), 1U);
 }
 
+/// When a worker must not begin a task any more.
+struct StartsUntilCase {
+  const char* name;
+  std::optional<core::Millis> starts_until;
+  core::Millis lease_until;
+};
+
+class StartsUntil : public testing::TestWithParam<StartsUntilCase> {};
+
+// A start that was delayed on its way, or in a process that was suspended,
+// began seconds after its data centre was evacuated.
+TEST_P(StartsUntil, BoundsTheLeaseOfAStart) {
+  DispatchSettings settings;
+  settings.max_lease_ms = 6000;
+  WorkerSession session(MakeWorker(), settings, NoFormerLeases());
+  auto answer = Report({});
+  answer.report->clock_ms = 500;
+  std::ignore = session.OnPoll({}, answer, 0, 0);
+  session.AddRun(MakeRun("job"));
+  auto permit = kPermit;
+  permit.starts_until = GetParam().starts_until;
+  const auto calls = session.TakeCalls(100, kStored, permit);
+  ASSERT_FALSE(calls.empty());
+  const auto* start = std::get_if<StartCall>(&calls.front().command);
+  ASSERT_NE(start, nullptr);
+  EXPECT_EQ(start->lease_until, GetParam().lease_until);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    StartsUntil,
+    testing::Values(StartsUntilCase{"NoBound", std::nullopt, 6600},
+                    StartsUntilCase{"LaterThanTheLease", 9000, 6600},
+                    // The worker's clock may lose 2 %.
+                    StartsUntilCase{"WithinTheLease", 5000, 5400}),
+    [](const auto& test) { return test.param.name; });
+
 // Guards against two runs of one task at once: a worker that is listed again
 // has not left, so its next silence shows nothing.
 TEST(WorkerSession, AWorkerThatIsListedAgainHasNotLeft) {
--- a/Tests/LibEntry/evacuation_read_test.cc
+++ b/Tests/LibEntry/evacuation_read_test.cc
@@ -78,6 +78,16 @@
   EXPECT_GT(StartsWithin(kStartMs), 0U);
 }
 
+// The workers of this test share the clock of the holder.
+TEST_F(HolderEvacuationTest, AStartMustBeginWithinTheBoundAfterTheRead) {
+  constexpr core::Millis kBoundMs = 1600;
+  SubmitWithBound(kBoundMs);
+  const auto read_at = core::SuspendAwareNow();
+  holder_->SetEvacuationsCurrentAsOf(read_at);
+  ASSERT_GT(StartsWithin(kStartMs), 0U);
+  EXPECT_LE(workers_.last_start_until, read_at + kBoundMs);
+}
+
 TEST_F(HolderEvacuationTest, StartsWithoutAReadIfThereIsNoBound) {
   SubmitWithBound(0);
   EXPECT_GT(StartsWithin(kStartMs), 0U);
--- a/Tests/LibEntry/term_holder_fixture.h
+++ b/Tests/LibEntry/term_holder_fixture.h
@@ -27,7 +27,10 @@
     std::ignore = std::tuple(fence, timeout);
     sent_at.insert(call.sent_at);
     ++calls;
-    starts += std::holds_alternative<dispatch::StartCall>(call.command) ? 1 : 0;
+    if (const auto* start = std::get_if<dispatch::StartCall>(&call.command)) {
+      ++starts;
+      last_start_until = start->lease_until;
+    }
     open.push_back(std::move(done));
   }
 
@@ -40,6 +43,8 @@
   std::size_t calls = 0;
   /// Those that start a task.
   std::size_t starts = 0;
+  /// Until when the worker may begin the last one, on its clock.
+  core::Millis last_start_until = 0;
 };
 
 /// A holder of term 1 with a store and workers in memory.
