--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -243,6 +243,12 @@
         return reply(items=items, truncated=len(keys) > PAGE_ROWS, end_offset=len(self.records))
 
 
+def epoch_of(term: bytes) -> int:
+    """Returns the first member of a stored term, a MessagePack array."""
+    size = {0xCC: 1, 0xCD: 2, 0xCE: 4}.get(term[1], 0)
+    return int.from_bytes(term[2 : 2 + size], "big") if size else term[1]
+
+
 def split_records(body: bytes) -> list[bytes]:
     records = []
     while body:
@@ -345,9 +351,11 @@
 class Worker:
     """One life of a worker; its ends are forgotten with it."""
 
-    def __init__(self, platform: "EntryPlatform", name: str, address: str, rack: str) -> None:
+    def __init__(
+        self, platform: "EntryPlatform", name: str, address: str, rack: str, zone: str
+    ) -> None:
         self.platform = platform
-        self.name, self.address, self.rack = name, address, rack
+        self.name, self.address, self.rack, self.zone = name, address, rack, zone
         self.alive, self.cut, self.losing, self.reaches_store = True, False, False, True
         self.capacity = 4000
         self.born = time.time_ns() // 1_000_000
@@ -372,7 +380,7 @@
 
     def listing(self) -> bytes:
         entry: dict[str, Any] = {
-            "service": "runners", "address": self.address, "zone": "zone-a", "version": 1,
+            "service": "runners", "address": self.address, "zone": self.zone, "version": 1,
             "slots": 8, "cold_left_ms": 0, "seq_no": self.entry_count, "born": self.born, "state": "ready",
             "capacity": {"cpu": self.capacity, "mem_mb": 8192, "gpu": 0},
             "labels": ["plain", self.rack],
@@ -550,7 +558,8 @@
         self.lives += 1
         name = name or f"worker-{self.number}-{self.lives}"
         former = self.platform.workers.get(name)
-        self.worker = Worker(self.platform, name, self.address, f"rack-{self.number % 2}")
+        zone = self.platform.zones[self.number % len(self.platform.zones)]
+        self.worker = Worker(self.platform, name, self.address, f"rack-{self.number % 2}", zone)
         self.worker.entry = former.entry if former else b""
         self.platform.workers[name] = self.worker
         await self.server.open()
@@ -594,6 +603,8 @@
             "gang_timeout_ms": int(GANG_TIMEOUT_S * 1000), "status_s": 120,
             "checkpoint_s": CHECKPOINT_MS / 1000,
         }  # fmt: skip
+        if self.platform.evacuate_ms:
+            bounds["evacuate_ms"] = self.platform.evacuate_ms
         lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
         lines += ["[listen]"] + [f'{role} = "{self.address(role)}"' for role in LISTEN_PORTS]
         lines += ["[bounds]"] + [f"{key} = {value}" for key, value in bounds.items()]
@@ -655,8 +666,9 @@
 
     def __init__(
         self, vms: int, machines: int, seed: int = 0, referee: Referee | None = None,
-        max_hold_ms: int = 3000,
+        max_hold_ms: int = 3000, zones: tuple[str, ...] = ("zone-a",), evacuate_ms: int = 0,
     ) -> None:  # fmt: skip
+        self.zones, self.evacuate_ms = zones, evacuate_ms
         self.dice = random.Random(seed)
         self.referee = referee or Referee()
         self.max_hold_ms = max_hold_ms
@@ -672,6 +684,7 @@
         self.ticker: asyncio.Task[None] | None = None
         self.term = b""
         self.term_since = 0.0
+        self.holders: dict[int, str] = {}  # names of the VMs by the epochs of their terms
 
     def store_server(self, vm: EntryVm, address: str) -> Server:
         return Server(lambda request: self.store.answer(vm.name, request), address)
@@ -727,6 +740,18 @@
         }  # fmt: skip
         self.store.topics[OPERATOR_TOPIC].put("config", json.dumps(document).encode())
 
+    def evacuate(self, zone: str) -> None:
+        """Writes the row that lets no task start in a data centre."""
+        self.store.topics[OPERATOR_TOPIC].put(f"evacuate/{zone}", b"{}")
+
+    def return_to_service(self, zone: str) -> None:
+        self.store.topics[OPERATOR_TOPIC].put(f"evacuate/{zone}", b"")
+
+    def delete_operator_records(self) -> None:
+        """Deletes the records that no reader has to see; the newest rows stay."""
+        partition = self.store.topics[OPERATOR_TOPIC]
+        partition.first = len(partition.records)
+
     async def is_ready(self, vm: EntryVm) -> bool:
         client = Client(vm.address("ready"))
         response = await client.call("GET", "/-/ready", timeout=1)
@@ -744,6 +769,8 @@
             row = self.store.topics[STATE_TOPIC].newest.get(b"~term", (b"", 0))[0]
             if row != self.term:
                 self.term, self.term_since = row, time.monotonic()
+                if vm := self.holder():
+                    self.holders[epoch_of(row)] = vm.name
             await asyncio.sleep(TICK_S)
 
     def tick(self) -> None:
--- a/Tests/System/entry_soak_test.py
+++ b/Tests/System/entry_soak_test.py
@@ -13,6 +13,7 @@
 import collections
 import dataclasses
 import json
+import math
 import os
 import random
 import signal
@@ -31,6 +32,8 @@
 FAULT_SECONDS = float(os.environ.get("KCM_SOAK_SECONDS", "20"))
 VMS, MACHINES, CLIENTS = 3, 6, 6
 MAX_HOLD_MS = 3000
+ZONES = ("zone-a", "zone-b", "zone-c")
+EVACUATE_MS = 5000
 # Bounds, from the targets: a holder without the store renews leases for 4 s, and a
 # lease, on a clock that is up to 3 % slow, then lapses within its length; 500 ms margin.
 LOST_WORKER_S = 4 + 1.03 * MAX_HOLD_MS / 1000 + 0.5
@@ -40,6 +43,11 @@
 FIRST_POLLS_S = 2.0
 # A task whose turn has come and for which there is room twice over starts within this.
 IDLE_S = 3.0
+# The last evacuation ends so long before the other faults, or the jobs that waited
+# would prolong the soak.
+BACKLOG_S = 4.0
+# A holder that was frozen or cut off may have sent what arrives within this.
+EXCUSED_S = 1.0
 REFUSALS = (429, 503)
 UNKNOWN = (502, 504)
 ENDED = ("completed", "failed", "cancelled")
@@ -109,6 +117,10 @@
         self.started_at: dict[str, list[float]] = collections.defaultdict(list)
         self.gone_at: dict[str, float] = {}
         self.saved: dict[str, set[str]] = collections.defaultdict(set)
+        self.evacuated_at: dict[str, float] = {}
+        # Whether the holder with a fence was frozen or cut off, and so may be late.
+        self.is_excused: Callable[[int], bool] = lambda fence: False
+        self.late_starts = 0
 
     def log(self, text: str) -> None:
         self.lines.append(f"{time.time():.3f} {time.monotonic() - self.began_at:7.3f} {text}")
@@ -137,9 +149,21 @@
         for before in job.spec["phases"][int(step)].get("after", []):
             if not all(self.done[other] for other in job.tasks(before)):
                 self.violate(f"{task} {run.attempt} starts before step {before} has ended")
+        self.check_evacuation(worker, run, body["fence_token"])
         self.active[task].append((worker, run.attempt))
         self.started_at[task].append(now)
 
+    def check_evacuation(self, worker: Worker, run: Run, fence: int) -> None:
+        evacuated_for = time.monotonic() - self.evacuated_at.get(worker.zone, time.monotonic())
+        if evacuated_for <= EVACUATE_MS / 1000:
+            return
+        text = f"{run.task} starts in {worker.zone}, evacuated {evacuated_for:.2f} s ago"
+        if self.is_excused(fence):
+            self.late_starts += 1
+            self.log(f"LATE {text}")
+        else:
+            self.violate(text)
+
     def on_end(self, worker: Worker, run: Run, how: str) -> None:
         self.log(f"end {run.task} {run.attempt} at {worker.name} {how}")
         if (worker, run.attempt) in self.active[run.task]:
@@ -209,7 +233,11 @@
     def __init__(self, seed: int) -> None:
         self.seed = seed
         self.referee = SoakReferee()
-        self.platform = EntryPlatform(VMS, MACHINES, seed, self.referee, MAX_HOLD_MS)
+        self.platform = EntryPlatform(
+            VMS, MACHINES, seed, self.referee, MAX_HOLD_MS, ZONES, EVACUATE_MS
+        )
+        self.referee.is_excused = self.is_excused
+        self.harmed_until: dict[str, float] = {}  # VMs that were frozen or cut off
         self.log = self.referee.log
         self.ends_at = 0.0
         self.leaving: set[str] = set()  # VMs that were told to end and will start again
@@ -223,7 +251,7 @@
                 self.ends_at = time.monotonic() + FAULT_SECONDS
                 plans: list[Callable[[random.Random], Awaitable[None]]] = [
                     self.take_over, self.harm_store, self.harm_workers, self.harm_workers,
-                    *[self.play_client] * CLIENTS,
+                    *[self.play_client] * CLIENTS, self.evacuate,
                 ]  # fmt: skip
                 dice = [random.Random(f"{self.seed}/{number}") for number in range(len(plans))]
                 await asyncio.gather(*(plan(d) for plan, d in zip(plans, dice, strict=True)))
@@ -264,6 +292,7 @@
         self.log(f"fault {how.name} {vm.name}")
         vm.send(how)
         if how == signal.SIGSTOP:
+            self.harmed_until[vm.name] = math.inf
             self.spawn(self.thaw(vm, dice.uniform(1, 4)))
         elif vm.name not in self.leaving:
             self.leaving.add(vm.name)
@@ -273,6 +302,7 @@
         await asyncio.sleep(delay)
         self.log(f"fault SIGCONT {vm.name}")
         vm.send(signal.SIGCONT)
+        self.harmed_until[vm.name] = time.monotonic() + EXCUSED_S
 
     async def restart(self, vm: EntryVm, delay: float) -> None:
         code = await vm.wait()
@@ -294,10 +324,46 @@
             self.log(f"fault store {kind} for {vm.name} {span:.1f} s")
             store.down = kind == "down"
             store.faults[vm.name] = "" if store.down else kind
+            cut_off = [vm.name] if kind != "down" else [each.name for each in self.platform.vms]
+            self.harmed_until.update(dict.fromkeys(cut_off, math.inf))
             await asyncio.sleep(span)
             self.log("fault store back")
             store.down = False
             store.faults.clear()
+            for name in cut_off:
+                self.harmed_until[name] = time.monotonic() + EXCUSED_S
+
+    def is_excused(self, fence: int) -> bool:
+        """Returns whether the holder of a term was just frozen or cut off from the store."""
+        name = self.platform.holders.get(fence, "")
+        is_frozen = any(vm.frozen for vm in self.platform.vms if vm.name == name)
+        return is_frozen or self.harmed_until.get(name, 0) > time.monotonic()
+
+    async def evacuate(self, dice: random.Random) -> None:
+        """Evacuates some or all data centres, at times again at once; ends with none."""
+        last_end = self.ends_at - BACKLOG_S
+        while True:
+            await asyncio.sleep(dice.uniform(0.3, 1.5))
+            # In a shorter evacuation no start is too late.
+            if time.monotonic() + EVACUATE_MS / 1000 + 1 > last_end:
+                return
+            zones = [*dice.sample(ZONES, dice.choice((1, 1, 2, 3))), "nowhere"]
+            self.log(f"fault evacuate {zones}")
+            for _ in range(dice.choice((1, 1, 2))):
+                for zone in zones:
+                    self.platform.return_to_service(zone)
+                    self.platform.evacuate(zone)
+                    self.referee.evacuated_at[zone] = time.monotonic()
+                await asyncio.sleep(dice.uniform(0, 1))
+            if dice.random() < 0.5:
+                self.platform.delete_operator_records()
+            # Longer than the bound, since only later starts are forbidden.
+            span = EVACUATE_MS / 1000 + dice.uniform(1, 3)
+            await asyncio.sleep(max(0, min(span, last_end - time.monotonic())))
+            self.log(f"fault return {zones}")
+            for zone in zones:
+                del self.referee.evacuated_at[zone]
+                self.platform.return_to_service(zone)
 
     async def harm_workers(self, dice: random.Random) -> None:
         kinds = (self.cut, self.unlist, self.lose_answers, self.crash, self.crash, self.drain)
@@ -482,6 +548,7 @@
         violations = asyncio.run(soak.run())
     finally:
         jobs = soak.referee.jobs.values()
+        soak.counts["late starts excused"] = soak.referee.late_starts
         accepted = sum(job.accepted_at is not None for job in jobs)
         print(f"seed {seed}: {len(jobs)} jobs, {accepted} accepted, {dict(soak.counts)}", flush=True)
     if violations:
