--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -148,6 +148,8 @@
   [[nodiscard]] auto evacuated() const -> const std::set<std::string>& {
     return evacuated_;
   }
+  /// @return whether the listed workers are known.
+  [[nodiscard]] auto is_fleet_known() const -> bool { return fleet_known_; }
 
  private:
   /// Waiting tasks of one step.
--- a/Libraries/LibDispatch/worker_session.h
+++ b/Libraries/LibDispatch/worker_session.h
@@ -155,6 +155,10 @@
   [[nodiscard]] auto runs() const -> const std::map<TaskId, Run>& {
     return runs_;
   }
+  /// @return the number of runs on the worker that the holder has no record of.
+  [[nodiscard]] auto orphan_run_count() const -> std::size_t {
+    return orphan_runs_.size();
+  }
   [[nodiscard]] auto used() const -> const Resources& { return used_; }
   [[nodiscard]] auto is_listed() const -> bool { return listed_; }
 
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -90,7 +90,14 @@
   service->peers_.OnNewerRoutes(
       [raw](const core::Address& peer) { raw->FetchRoutes(peer); });
   dependencies.loop.Every(kTickMs, [raw] { raw->RunDueWork(); });
-  dependencies.metrics.OnScrape([raw] { raw->SampleTraffic(); });
+  dependencies.metrics.OnScrape([raw] {
+    raw->SampleTraffic();
+    SetEvacuationGauges(raw->StatusOfEvacuations(), core::WallNow(),
+                        raw->dependencies_.metrics);
+  });
+  dependencies.metrics.ServeDocument("/status", [raw] {
+    return ToStatusDocument(raw->StatusOfEvacuations());
+  });
   return service;
 }
 
@@ -194,6 +201,30 @@
   }
 }
 
+auto EntryService::StatusOfEvacuations() const -> EvacuationStatus {
+  EvacuationStatus status;
+  status.name = settings_.name;
+  status.since = evacuations_.since();
+  const auto& view = peers_.holder_view();
+  status.epoch = view.epoch;
+  status.holder = view.name;
+  // All entry processes serve their metrics on one port.
+  status.holder_status = {view.address.host, settings_.metrics.port};
+  if (holder_ == nullptr) {
+    return status;
+  }
+  status.is_holder = true;
+  status.epoch = holder_->term().epoch;
+  status.holder = settings_.name;
+  status.holder_status = settings_.metrics;
+  if (const auto as_of = operators_follower_->current_as_of(); as_of > 0) {
+    status.read_age_ms = core::SuspendAwareNow() - as_of;
+  }
+  status.may_start = holder_->MayStart();
+  status.reports = holder_->ReportEvacuations();
+  return status;
+}
+
 auto EntryService::RunDueWork() -> void {
   const auto now = core::SuspendAwareNow();
   routes_confirmation_.CheckPause();
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -11,6 +11,7 @@
 #include "LibEntry/client_request_handler.h"
 #include "LibEntry/election.h"
 #include "LibEntry/entry_settings.h"
+#include "LibEntry/evacuation_status.h"
 #include "LibEntry/evacuation_table.h"
 #include "LibEntry/handover_policy.h"
 #include "LibEntry/holder_client.h"
@@ -96,6 +97,8 @@
   /// term ends meanwhile.
   auto RunHolderWork(TermHolder& holder, core::Millis now) -> void;
   auto SampleTraffic() const -> void;
+  /// @return what this process tells operators of evacuated data centres.
+  [[nodiscard]] auto StatusOfEvacuations() const -> EvacuationStatus;
   /// @return capacity for holding the term; zero if this process cannot.
   [[nodiscard]] auto CandidateCapacity() const -> double;
   /// @return whether the store has answered within this time.
--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -66,6 +66,9 @@
 /// A start that is sent this long before it would be too late for an evacuated
 /// data centre has reached its worker by then or is given up.
 constexpr Millis kStartMarginMs = kCallTimeoutMs + 400;
+/// Jobs that a report on an evacuated data centre names at most: what an
+/// operator reads at a glance.
+constexpr std::size_t kMaxReportedJobs = 50;
 /// Time after which an attempt to append has failed, by the number of failures
 /// so far. Its copies may still be answered.
 constexpr std::array<Millis, 4> kAppendTimeoutsMs = {400, 600, 1200, 2500};
@@ -215,6 +218,11 @@
               evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2));
 }
 
+auto TermHolder::ReportEvacuations() const
+    -> std::map<std::string, dispatch::EvacuationReport> {
+  return dispatch::ReportEvacuations(dispatcher_, kMaxReportedJobs);
+}
+
 auto TermHolder::StartNextAppend(Millis now) -> void {
   if (append_) {
     return;
--- a/Libraries/LibEntry/term_holder.h
+++ b/Libraries/LibEntry/term_holder.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibDispatch/dispatcher.h"
+#include "LibDispatch/evacuation_report.h"
 #include "LibEntry/claim.h"
 #include "LibEntry/entry_settings.h"
 #include "LibEntry/fleet_table.h"
@@ -91,6 +92,15 @@
     return on_resigned_ != nullptr;
   }
 
+  /// @return whether tasks may be started, as the evacuated data centres are
+  ///     known well enough.
+  [[nodiscard]] auto MayStart() const -> bool {
+    return MayStart(core::SuspendAwareNow());
+  }
+  /// @return what is left in the evacuated data centres.
+  [[nodiscard]] auto ReportEvacuations() const
+      -> std::map<std::string, dispatch::EvacuationReport>;
+
   [[nodiscard]] auto term() const -> const TermRow& { return term_; }
   /// @return for how long the current append has failed; zero if it has not.
   [[nodiscard]] auto StoreOutageMs() const -> core::Millis;
--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -27,16 +27,31 @@
   std::unique_ptr<Metrics> metrics(new Metrics());
   metrics->server_ = net::HttpServer::create(
       loop, address,
-      [raw = metrics.get()](const net::HttpRequest& /*request*/,
+      [raw = metrics.get()](const net::HttpRequest& request,
                             const net::HttpReply& reply) {
-        reply.Send({net::kHttpOk,
-                    {{"content-type", "text/plain; version=0.0.4"}},
-                    raw->Serialize()});
+        raw->Reply(request, reply);
       },
       reason);
   return metrics->server_ == nullptr ? nullptr : std::move(metrics);
 }
 
+auto Metrics::Reply(const net::HttpRequest& request,
+                    const net::HttpReply& reply) -> void {
+  const auto document = documents_.find(request.path);
+  if (document != documents_.end()) {
+    reply.SendJson(net::kHttpOk, document->second());
+    return;
+  }
+  reply.Send({net::kHttpOk,
+              {{"content-type", "text/plain; version=0.0.4"}},
+              Serialize()});
+}
+
+auto Metrics::ServeDocument(const std::string& path, DocumentSource source)
+    -> void {
+  documents_[path] = std::move(source);
+}
+
 auto Metrics::Count(const std::string& name,
                     const std::string& label,
                     const std::string& value,
@@ -58,12 +73,33 @@
                   double number,
                   const std::string& label,
                   const std::string& value) -> void {
+  FindSeries(GaugeFamilyOf(name), label, value).Set(number);
+}
+
+auto Metrics::SetAll(const std::string& name,
+                     const std::string& label,
+                     const std::map<std::string, double>& numbers) -> void {
+  auto& gauge = GaugeFamilyOf(name);
+  std::erase_if(gauge.series, [&](const auto& entry) {
+    if (numbers.contains(entry.first)) {
+      return false;
+    }
+    gauge.family->Remove(entry.second);
+    return true;
+  });
+  for (const auto& [value, number] : numbers) {
+    FindSeries(gauge, label, value).Set(number);
+  }
+}
+
+auto Metrics::GaugeFamilyOf(const std::string& name)
+    -> Family<prometheus::Gauge>& {
   auto& gauge = gauges_[name];
   if (gauge.family == nullptr) {
     gauge.family =
         &prometheus::BuildGauge().Name("kcm_" + name).Register(registry_);
   }
-  FindSeries(gauge, label, value).Set(number);
+  return gauge;
 }
 
 auto Metrics::Observe(const std::string& name, core::Millis duration) -> void {
--- a/Libraries/LibNode/metrics.h
+++ b/Libraries/LibNode/metrics.h
@@ -9,12 +9,14 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/json.h"
 #include "LibNet/event_loop.h"
 #include "LibNet/http_server.h"
 
 namespace kcm::node {
 
-/// The metrics of one process, served as text at GET /metrics.
+/// The metrics of one process, served as text at GET /metrics, and documents of
+/// its state.
 ///
 /// Names are passed without the prefix "kcm_" and, for counters, without the
 /// suffix "_total". A family has a bounded number of series; further values
@@ -22,6 +24,7 @@
 class Metrics {
  public:
   using Sampler = std::function<void()>;
+  using DocumentSource = std::function<core::Json()>;
 
   /// Starts the metrics server.
   /// @return the metrics, or null with `reason` naming the address.
@@ -48,6 +51,12 @@
            const std::string& label = "",
            const std::string& value = "") -> void;
 
+  /// Replaces all series of a gauge by these numbers, which are given by the
+  /// value of the label.
+  auto SetAll(const std::string& name,
+              const std::string& label,
+              const std::map<std::string, double>& numbers) -> void;
+
   /// Adds one duration to the histogram `name` + "_ms".
   auto Observe(const std::string& name, core::Millis duration) -> void;
 
@@ -55,6 +64,9 @@
   /// than to keep up to date.
   auto OnScrape(Sampler sampler) -> void;
 
+  /// Serves the source's current document as JSON at a path of the address.
+  auto ServeDocument(const std::string& path, DocumentSource source) -> void;
+
  private:
   /// One family with its series by label value.
   template <typename Series>
@@ -69,6 +81,9 @@
   auto FindSeries(Family<Series>& family,
                   const std::string& label,
                   const std::string& value) -> Series&;
+  auto Reply(const net::HttpRequest& request, const net::HttpReply& reply)
+      -> void;
+  auto GaugeFamilyOf(const std::string& name) -> Family<prometheus::Gauge>&;
   auto CounterOf(const std::string& name,
                  const std::string& label,
                  const std::string& value) -> prometheus::Counter&;
@@ -79,6 +94,7 @@
   std::map<std::string, Family<prometheus::Gauge>> gauges_;
   std::map<std::string, prometheus::Histogram*> histograms_;
   std::vector<Sampler> samplers_;
+  std::map<std::string, DocumentSource> documents_;
   std::unique_ptr<net::HttpServer> server_;
 };
 
--- a/Tests/LibDispatch/evacuation_test.cc
+++ b/Tests/LibDispatch/evacuation_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "LibDispatch/evacuation_report.h"
 #include "dispatch_simulation.h"
 
 namespace kcm::dispatch {
@@ -204,5 +205,47 @@
   ExpectSound();
 }
 
+// Guards against an operator who is told that nothing runs there although a new
+// holder has not asked the workers yet.
+TEST_F(EvacuationTest, ReportTellsWhatIsLeftAndWhenItIsEmpty) {
+  const auto report = [&](std::size_t max_jobs) {
+    return ReportEvacuations(simulation_.dispatcher(), max_jobs);
+  };
+  simulation_.Submit("one", "batch", {DispatchSimulation::Step(2, 8, 6000)});
+  simulation_.Submit("two", "batch", {DispatchSimulation::Step(2, 8, 6000)});
+  simulation_.Run(500);
+  EXPECT_TRUE(report(9).empty());
+  simulation_.SetEvacuated({"a", "b", "nowhere"});
+  const auto all = report(9);
+  ASSERT_EQ(all.size(), 3U);
+  EXPECT_TRUE(all.at("nowhere").is_empty);
+  std::size_t runs = 0;
+  for (const auto* data_centre : {"a", "b"}) {
+    const auto& part = all.at(data_centre);
+    EXPECT_EQ(part.workers, 2U);
+    EXPECT_EQ(part.silent_workers, 0U);
+    EXPECT_EQ(part.runs, 2U);
+    EXPECT_EQ(part.other_jobs, 0U);
+    EXPECT_FALSE(part.is_empty);
+    for (const auto& [job, count] : part.runs_by_job) {
+      runs += count;
+    }
+  }
+  EXPECT_EQ(runs, 4U);
+  EXPECT_TRUE(report(0).at("a").runs_by_job.empty());
+  EXPECT_GT(report(0).at("a").other_jobs, 0U);
+  simulation_.ReplaceHolder();
+  EXPECT_FALSE(report(9).at("a").is_empty) << "the fleet is not known";
+  EXPECT_FALSE(report(9).at("nowhere").is_empty) << "the fleet is not known";
+  simulation_.Run(1000);
+  EXPECT_EQ(report(9).at("a").runs, 2U);
+  ASSERT_TRUE(simulation_.RunUntil(
+      [&] { return report(9).at("a").is_empty && report(9).at("b").is_empty; },
+      10000));
+  EXPECT_TRUE(IsDone("one"));
+  EXPECT_TRUE(IsDone("two"));
+  ExpectSound();
+}
+
 }  // namespace
 }  // namespace kcm::dispatch
--- a/Utilities/kcm/api_client.cc
+++ b/Utilities/kcm/api_client.cc
@@ -17,7 +17,7 @@
   }
   request.headers.try_emplace("content-type", "application/json");
   net::HttpResult result;
-  http_.Send(gateway_, request, kCallTimeout,
+  http_.Send(server_, request, kCallTimeout,
              [this, &result](net::HttpResult received) {
                result = std::move(received);
                loop_.Stop();
@@ -27,14 +27,14 @@
     case net::Exchange::kAnswered:
       return std::move(result.response);
     case net::Exchange::kNeverSent:
-      return reason.Fail(core::ErrorKind::kNoEndpoint, "gateway",
-                         "No gateway answers at " + gateway_.ToString() +
+      return reason.Fail(core::ErrorKind::kNoEndpoint, role_,
+                         "No " + role_ + " answers at " + server_.ToString() +
                              "; the call was not made.");
     case net::Exchange::kBroken:
       break;
   }
-  return reason.Fail(core::ErrorKind::kOutcomeUnknown, "gateway",
-                     "The connection to " + gateway_.ToString() +
+  return reason.Fail(core::ErrorKind::kOutcomeUnknown, role_,
+                     "The connection to " + server_.ToString() +
                          " broke before the answer; the call may have taken "
                          "effect.");
 }
--- a/Utilities/kcm/api_client.h
+++ b/Utilities/kcm/api_client.h
@@ -11,8 +11,12 @@
 /// Makes one API call at a time and waits for the response.
 class ApiClient {
  public:
-  ApiClient(core::Address gateway, std::string token)
-      : gateway_(std::move(gateway)), token_(std::move(token)), http_(loop_) {}
+  /// @param role what answers at the address, for messages.
+  ApiClient(core::Address server, std::string token, std::string role)
+      : server_(std::move(server)),
+        token_(std::move(token)),
+        role_(std::move(role)),
+        http_(loop_) {}
 
   /// Makes one call.
   /// @return the response, or nothing with `reason`.
@@ -23,8 +27,9 @@
   auto Sleep(core::Millis duration) -> void;
 
  private:
-  core::Address gateway_;
+  core::Address server_;
   std::string token_;
+  std::string role_;
   net::EventLoop loop_;
   net::HttpClient http_;
 };
--- a/Utilities/kcm/command.h
+++ b/Utilities/kcm/command.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,6 +19,9 @@
   kUnknown = 4,
 };
 
+/// Which kind of process answers a command.
+enum class Server : std::uint8_t { kGateway, kEntryVm };
+
 /// Context of one command call.
 struct Invocation {
   ApiClient& client;
@@ -32,6 +36,7 @@
   std::string_view arguments;
   std::string_view description;
   auto(*run)(Invocation&) -> ExitCode;
+  Server server = Server::kGateway;
 };
 
 /// @return all commands.
--- a/Utilities/kcm/commands.cc
+++ b/Utilities/kcm/commands.cc
@@ -226,6 +226,31 @@
   return CallAndPrint(invocation, GetRequest("/v1/processes"), RenderProcesses);
 }
 
+/// Asks an entry VM, and then the term holder if that is another one.
+auto EvacuationList(Invocation& invocation) -> ExitCode {
+  auto exit_code = ExitCode::kDone;
+  auto document = CallJson(invocation, GetRequest("/status"), exit_code);
+  if (document && !document->at("is_holder").get<bool>() &&
+      document->at("holder").is_object()) {
+    core::Reason reason;
+    const auto holder = core::ParseAddress(
+        document->at("holder").at("status_address").get<std::string>(),
+        "status_address", reason);
+    if (!holder) {
+      return ReportError(reason);
+    }
+    ApiClient client(*holder, "", "term holder");
+    Invocation at_holder{client, invocation.as_json, {}};
+    document = CallJson(at_holder, GetRequest("/status"), exit_code);
+  }
+  if (!document) {
+    return exit_code;
+  }
+  std::cout << (invocation.as_json ? document->dump(2) + "\n"
+                                   : RenderEvacuations(*document));
+  return exit_code;
+}
+
 auto WorkerList(Invocation& invocation) -> ExitCode {
   return CallAndPrint(invocation, GetRequest("/v1/fleet/workers"),
                       RenderWorkers);
@@ -281,6 +306,9 @@
             "keeps new gangs off a worker", WorkerCordon},
     Command{"worker", "uncordon", "WORKER", "lifts a cordon", WorkerUncordon},
     Command{"minion", "list", "", "shows the minions", MinionList},
+    Command{"evacuation", "list", "",
+            "shows evacuated data centres and what still runs there",
+            EvacuationList, Server::kEntryVm},
 };
 
 }  // namespace
--- a/Utilities/kcm/main.cc
+++ b/Utilities/kcm/main.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
@@ -17,7 +18,9 @@
          "[--json] GROUP "
          "VERB [ARGUMENT...]\n\nThe token may stand in KCM_TOKEN, the gateway "
          "in "
-         "KCM_GATEWAY.\n\nkcm completion bash prints a completion for "
+         "KCM_GATEWAY.\n\nCommands of the group evacuation ask an entry VM at "
+         "its metrics address:\n--entry IP:PORT, or KCM_ENTRY.\n\nkcm "
+         "completion bash prints a completion for "
          "bash.\n\n";
   for (const auto& command : Commands()) {
     out << "  " << command.group << " " << command.verb << " "
@@ -30,6 +33,24 @@
   return value == nullptr ? fallback : value;
 }
 
+/// How the address of one kind of process is given.
+struct ServerOption {
+  Server server;
+  const char* name;
+  const char* variable;
+  const char* default_address;
+  const char* role;
+};
+
+auto OptionOf(Server server) -> const ServerOption& {
+  static constexpr std::array kOptions = {
+      ServerOption{Server::kGateway, "gateway", "KCM_GATEWAY", "127.0.0.1:8001",
+                   "gateway"},
+      ServerOption{Server::kEntryVm, "entry", "KCM_ENTRY", "127.0.0.1:9464",
+                   "entry VM"}};
+  return kOptions[static_cast<std::size_t>(server)];
+}
+
 /// Prints a bash completion script for groups and verbs.
 auto PrintBashCompletion(std::ostream& out) -> void {
   std::map<std::string_view, std::string> verbs;
@@ -94,7 +115,9 @@
       "token", "bearer token", cxxopts::value<std::string>())(
       "token-file", "file with the bearer token",
       cxxopts::value<std::string>())("json", "print documents")(
-      "help", "print this text")("version", "print the version");
+      "entry", "IP:PORT of an entry VM's metrics",
+      cxxopts::value<std::string>())("help", "print this text")(
+      "version", "print the version");
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") != 0) {
     PrintHelp(std::cout);
@@ -114,20 +137,26 @@
   if (command == nullptr) {
     return ExitCode::kUsage;
   }
-  const auto gateway = parsed.count("gateway") != 0
-                           ? parsed["gateway"].as<std::string>()
-                           : EnvironmentOr("KCM_GATEWAY", "127.0.0.1:8001");
+  const auto& option = OptionOf(command->server);
+  const auto text =
+      parsed.count(option.name) != 0
+          ? parsed[option.name].as<std::string>()
+          : EnvironmentOr(option.variable, option.default_address);
   core::Reason reason;
-  const auto address = core::ParseAddress(gateway, "--gateway", reason);
+  const auto address =
+      core::ParseAddress(text, "--" + std::string(option.name), reason);
   if (!address) {
     std::cerr << "kcm: " << reason.message << "\n";
     return ExitCode::kUsage;
   }
-  const auto token = ReadToken(parsed);
+  // An entry VM needs no token, so it gets none.
+  const auto token = command->server == Server::kGateway
+                         ? ReadToken(parsed)
+                         : std::optional<std::string>("");
   if (!token) {
     return ExitCode::kUsage;
   }
-  ApiClient client(*address, *token);
+  ApiClient client(*address, *token, option.role);
   words.erase(words.begin(), words.begin() + 2);
   Invocation invocation{client, parsed.count("json") != 0, std::move(words)};
   return command->run(invocation);
--- a/Utilities/kcm/render.cc
+++ b/Utilities/kcm/render.cc
@@ -61,6 +61,19 @@
   return text.empty() ? "-" : text;
 }
 
+/// Formats the runs in a data centre by job, such as "a 2, b 1, 3 others".
+auto FormatJobs(const core::Json& data_centre) -> std::string {
+  std::string text;
+  for (const auto& job : data_centre.at("jobs")) {
+    text += (text.empty() ? "" : ", ") + ToText(job.at("job")) + " " +
+            job.at("runs").dump();
+  }
+  if (const auto& others = data_centre.at("other_jobs"); others != 0) {
+    text += ", " + others.dump() + " others";
+  }
+  return text.empty() ? "-" : text;
+}
+
 auto CellsOfRow(const core::Json& row) -> Cells {
   auto cells = CellsOf(row, kRowColumns);
   cells.back() = FormatGuarantees(row.at("guarantees"));
@@ -182,6 +195,35 @@
                     {"id", "data_centre", "address", "leaving"});
 }
 
+auto RenderEvacuations(const core::Json& status) -> std::string {
+  std::ostringstream text;
+  if (status.at("is_holder").get<bool>()) {
+    text << "term holder " << ToText(status.at("name")) << ", "
+         << (status.at("may_start").get<bool>() ? "starts tasks"
+                                                : "starts no tasks")
+         << ", has read the operators' table "
+         << (status.at("read_age_ms").is_null()
+                 ? std::string("never")
+                 : status.at("read_age_ms").dump() + " ms ago")
+         << "\n";
+  } else {
+    text << ToText(status.at("name"))
+         << " is not the term holder, which is needed to tell what runs\n";
+  }
+  std::vector<Cells> rows = {{"data_centre", "since_ms", "empty", "runs",
+                              "workers", "silent_workers", "jobs"}};
+  for (const auto& data_centre : status.at("evacuated")) {
+    auto cells = CellsOf(data_centre, rows.front());
+    cells.back() = "-";
+    if (data_centre.contains("jobs")) {
+      cells.back() = FormatJobs(data_centre);
+    }
+    rows.push_back(std::move(cells));
+  }
+  text << AlignColumns(rows);
+  return text.str();
+}
+
 auto RenderStatus(const core::Json& status) -> std::string {
   std::ostringstream text;
   text << ToText(status.at("node")) << ": table version "
--- a/Utilities/kcm/render.h
+++ b/Utilities/kcm/render.h
@@ -22,6 +22,8 @@
 auto RenderWorkers(const core::Json& document) -> std::string;
 auto RenderCordon(const core::Json& document) -> std::string;
 auto RenderMinions(const core::Json& document) -> std::string;
+/// Evacuated data centres by the status of an entry VM.
+auto RenderEvacuations(const core::Json& status) -> std::string;
 /// The status of the gateway that was called.
 auto RenderStatus(const core::Json& status) -> std::string;
 
