--- a/Libraries/LibEntry/term_holder.cc
+++ b/Libraries/LibEntry/term_holder.cc
@@ -66,6 +66,9 @@
 /// A start that is sent this long before it would be too late for an evacuated
 /// data centre has reached its worker by then or is given up.
 constexpr Millis kStartMarginMs = kCallTimeoutMs + 400;
+/// Jobs that a report on an evacuated data centre names at most: what an
+/// operator reads at a glance.
+constexpr std::size_t kMaxReportedJobs = 50;
 /// Time after which an attempt to append has failed, by the number of failures
 /// so far. Its copies may still be answered.
 constexpr std::array<Millis, 4> kAppendTimeoutsMs = {400, 600, 1200, 2500};
@@ -178,7 +181,10 @@
   const auto now = ReadClocks();
   const dispatch::TermPermit permit{
       now.steady - term_row_at_ < kMaxUnconfirmedMs, confirmed_at_,
-      MayStart(now.steady)};
+      MayStart(now.steady),
+      evacuate_ms_ == 0
+          ? std::nullopt
+          : std::optional(evacuations_current_as_of_ + evacuate_ms_)};
   for (auto& call : dispatcher_.TakeCalls(now, permit)) {
     const auto is_poll =
         std::holds_alternative<dispatch::PollCall>(call.command);
@@ -204,9 +210,17 @@
 }
 
 auto TermHolder::MayStart(Millis now) const -> bool {
+  // The steady clock of a machine that was just switched on is close to zero,
+  // which is the time of no read.
   return evacuate_ms_ == 0 ||
-         now - evacuations_current_as_of_ <
-             evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2);
+         (evacuations_current_as_of_ > 0 &&
+          now - evacuations_current_as_of_ <
+              evacuate_ms_ - std::min(kStartMarginMs, evacuate_ms_ / 2));
+}
+
+auto TermHolder::ReportEvacuations() const
+    -> std::map<std::string, dispatch::EvacuationReport> {
+  return dispatch::ReportEvacuations(dispatcher_, kMaxReportedJobs);
 }
 
 auto TermHolder::StartNextAppend(Millis now) -> void {
--- a/Tests/LibEntry/term_holder_fixture.h
+++ b/Tests/LibEntry/term_holder_fixture.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "LibEntry/term_holder.h"
@@ -26,6 +27,10 @@
     std::ignore = std::tuple(fence, timeout);
     sent_at.insert(call.sent_at);
     ++calls;
+    if (const auto* start = std::get_if<dispatch::StartCall>(&call.command)) {
+      ++starts;
+      last_start_until = start->lease_until;
+    }
     open.push_back(std::move(done));
   }
 
@@ -36,6 +41,10 @@
   /// When the calls were issued; those of one pass share the time.
   std::set<core::Millis> sent_at;
   std::size_t calls = 0;
+  /// Those that start a task.
+  std::size_t starts = 0;
+  /// Until when the worker may begin the last one, on its clock.
+  core::Millis last_start_until = 0;
 };
 
 /// A holder of term 1 with a store and workers in memory.
