--- a/Tests/System/entry_platform.py
+++ b/Tests/System/entry_platform.py
@@ -597,6 +597,7 @@
         lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
         lines += ["[listen]"] + [f'{role} = "{self.address(role)}"' for role in LISTEN_PORTS]
         lines += ["[bounds]"] + [f"{key} = {value}" for key, value in bounds.items()]
+        lines += ["[limits]"] + [f"{key} = {value}" for key, value in self.platform.node_limits.items()]
         lines += ["[platform]", f'address = "{self.store_address}"']
         self.settings.write_text("\n".join(lines) + "\n")
 
@@ -655,8 +656,12 @@
 
     def __init__(
         self, vms: int, machines: int, seed: int = 0, referee: Referee | None = None,
-        max_hold_ms: int = 3000,
+        max_hold_ms: int = 3000, node_limits: dict[str, float] | None = None,
+        limits: dict[str, int] | None = None,
     ) -> None:  # fmt: skip
+        """`node_limits` are those of each VM, `limits` those of the operators' configuration."""
+        self.node_limits = node_limits or {}
+        self.limits = limits or {}
         self.dice = random.Random(seed)
         self.referee = referee or Referee()
         self.max_hold_ms = max_hold_ms
@@ -719,7 +724,7 @@
     ) -> None:  # fmt: skip
         """Writes a version of the operators' configuration; `keys` holds those of each account."""
         document = {
-            "version": version, "routes": routes or [route_of()], "services": [], "limits": {},
+            "version": version, "routes": routes or [route_of()], "services": [], "limits": self.limits,
             "tenants": [
                 {"name": name, "api_keys": tokens}
                 for name, tokens in (keys or {"council": [API_KEY]}).items()
--- /dev/null
+++ b/Tests/System/untrusted_clients_test.py
@@ -0,0 +1,196 @@
+"""Clients that keep no rule of HTTP neither end a process nor make it pass its machine's limits.
+
+In a trial, clients made a process run out of memory with heads, empty lines and bodies without
+end. Each crowd acts at all addresses of one process at once. Its size and the bounds come from
+the settings below, not from what a process was seen to need:
+
+- The process may not use more than the memory of its machine. What all clients of a crowd send
+  for one purpose is at least twice that, so that a process that holds it passes the bound.
+- The process may not use more descriptors than its machine allows. A crowd that only opens
+  connections opens more than that.
+"""
+
+import asyncio
+import dataclasses
+import pathlib
+import subprocess
+import unittest
+from collections.abc import Callable
+
+import cluster as testing
+import crowd
+from crowd import Behaviour
+from entry_platform import API_KEY, HOST, PREFIX, Client, EntryPlatform, until
+
+MEMORY_MB, MAX_FDS = 64, 256
+METRICS_PORT = 9464
+# A crowd may act for so long; what it has sent by then has to be held or dropped already.
+MAX_CROWD_S = 4.0
+ANSWER_S = 10.0
+SENDERS = 20
+MB = 1 << 20
+# Sent by each client of a crowd. Short header lines take many times their size once parsed, so a
+# quarter of it passes the bound as well.
+EACH = 2 * MEMORY_MB * MB // SENDERS
+LIMITS = {
+    "max_header_bytes": 16384, "max_body_bytes": 262144,
+    "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+}  # fmt: skip
+
+
+def head(*lines: str, method: str = "POST", path: str = PREFIX + "0" * 16) -> bytes:
+    """Returns a head that is well formed but for what `lines` contain, without its last line."""
+    first = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Api-Key: {API_KEY}"]
+    return "\r\n".join([*first, *lines, ""]).encode()
+
+
+CHUNKED = head("Transfer-Encoding: chunked") + b"\r\n"
+FILLER = b"a" * 1024
+CROWDS = (
+    Behaviour("heads over the limit", SENDERS, head(), b"X-Filler: " + FILLER + b"\r\n", EACH),
+    Behaviour("heads without end in one line", SENDERS, head() + b"X-Filler: ", FILLER, EACH),
+    Behaviour("request lines without end", SENDERS, b"GET /", FILLER, EACH),
+    Behaviour("heads of many short lines", SENDERS, head(), b"a:b\r\n", EACH // 4),
+    Behaviour("empty lines before a request", SENDERS, b"", b"\r\n", EACH),
+    Behaviour("header names without a colon", SENDERS, head(), FILLER + b"\r\n", EACH),
+    Behaviour("bodies announced", SENDERS, head(f"Content-Length: {EACH}") + b"\r\n", FILLER, EACH),
+    Behaviour("bodies announced without bound", SENDERS,
+              head(f"Content-Length: {10**15}") + b"\r\n", FILLER, EACH),
+    Behaviour("bodies announced and never finished", SENDERS,
+              head(f"Content-Length: {EACH + 1}") + b"\r\n", FILLER, EACH),
+    Behaviour("bodies in chunks", SENDERS, CHUNKED, b"400\r\n" + FILLER + b"\r\n", EACH),
+    Behaviour("bodies in one chunk", SENDERS, CHUNKED + f"{EACH + 1:x}\r\n".encode(), FILLER, EACH),
+    Behaviour("bodies with neither", SENDERS, head() + b"\r\n", FILLER, EACH),
+    Behaviour("chunk sizes without end", SENDERS, CHUNKED, b"0" * 1024, EACH),
+    Behaviour("chunk extensions without end", SENDERS, CHUNKED + b"4;", FILLER, EACH),
+    Behaviour("empty lines between chunks", SENDERS, CHUNKED, b"\r\n", EACH),
+    Behaviour("trailers without end", SENDERS, CHUNKED + b"0\r\n", b"X-Filler: a\r\n", EACH),
+    Behaviour("single bytes from many", MAX_FDS + 64, head(), b"a", 20, pause_s=0.05),
+    Behaviour("calls whose answers nobody reads", SENDERS, b"",
+              head(method="GET", path="/v1/health") + b"\r\n", EACH, reads=False),
+    Behaviour("requests that nobody lets end", SENDERS, head("Content-Length: 262144") + b"\r\n",
+              FILLER, 200 * 1024, stays_s=1.0),
+    Behaviour("connections only opened", MAX_FDS + 64, stays_s=1.0),
+)  # fmt: skip
+
+
+@dataclasses.dataclass
+class Process:
+    """A process under test."""
+
+    pid: int
+    runs: Callable[[], bool]
+
+    def status_kb(self, name: str) -> int:
+        """Returns a line of /proc/PID/status in KB; zero after the end of the process."""
+        try:
+            text = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return 0
+        values = [line.split()[1] for line in text.splitlines() if line.startswith(name + ":")]
+        return int(values[0]) if values else 0
+
+    def descriptors(self) -> int:
+        try:
+            return sum(1 for _ in pathlib.Path(f"/proc/{self.pid}/fd").iterdir())
+        except OSError:
+            return 0
+
+
+class UntrustedClients(unittest.IsolatedAsyncioTestCase):
+    async def act(self, process: Process, behaviour: Behaviour, addresses: list[str]) -> None:
+        """Lets a crowd act and checks the process meanwhile and afterwards."""
+        most = 0
+
+        async def count() -> None:
+            nonlocal most
+            while True:
+                most = max(most, process.descriptors())
+                await asyncio.sleep(0.02)
+
+        counter = asyncio.create_task(count())
+        await crowd.run(behaviour, addresses, MAX_CROWD_S)
+        counter.cancel()
+        self.assertTrue(process.runs(), "the process has ended")
+        # The highest that it ever was, so nothing depends on when this is read.
+        self.assertLess(process.status_kb("VmHWM"), MEMORY_MB * 1024, "KB of memory")
+        self.assertLess(most, MAX_FDS, "descriptors")
+
+    async def test_entry(self) -> None:
+        limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        for behaviour in CROWDS:
+            if not hasattr(self, "platform"):
+                self.platform = await self.enterAsyncContext(
+                    EntryPlatform(vms=1, machines=1, node_limits=limits, limits=LIMITS)
+                )
+                await until(self.platform.holder, "the VM holds the term")
+            vm = self.platform.vms[0]
+            good = False
+            with self.subTest(behaviour.name):
+                assert vm.process
+                addresses = [vm.address(role) for role in ("front", "ready", "control")]
+                addresses.append(f"{vm.ip}:{METRICS_PORT}")
+                process = Process(vm.process.pid, vm.runs)
+                await self.act(process, behaviour, addresses)
+                await self.check_entry_answers(vm.address("front"))
+                good = True
+            if not good:
+                # The next crowd acts on a new process.
+                if vm.runs():
+                    await vm.kill()
+                vm.start()
+                await until(lambda vm=vm: self.platform.is_ready(vm), f"{vm.name} is ready")
+
+    async def check_entry_answers(self, address: str) -> None:
+        async def answers() -> bool:
+            client = Client(address)
+            headers = {"Host": HOST, "Deadline_Ms": "3000", "Api_Key": API_KEY}
+            answer = await client.call("GET", PREFIX + "0" * 16, None, **headers)
+            client.close()
+            return answer is not None and answer.status == 410
+
+        await until(answers, "an ordinary request is answered", ANSWER_S)
+
+    async def test_gateway(self) -> None:
+        topology = testing.Topology(
+            {"hobart-a": "tas-south"}, {"entry-1": "hobart-a"},
+            testing.rack_of_workers("hobart-a", "rack-1", 1), {},
+        )  # fmt: skip
+        settings = {"memory_mb": MEMORY_MB, "max_descriptors": MAX_FDS}
+        command = [str(testing.BUILD / "kcm-gateway"), "--settings-reference"]
+        known = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+        system = testing.Cluster(
+            testing.BUILD, topology,
+            gateway_settings={k: v for k, v in settings.items() if f"`gateway.{k}`" in known},
+        )  # fmt: skip
+        self.addCleanup(system.stop)
+        system.start()
+        name = "entry-1/gateway"
+        addresses = [system.gateway("entry-1"), system.metrics("entry-1", "gateway")]
+        for behaviour in CROWDS:
+            good = False
+            with self.subTest(behaviour.name):
+                process = system.processes[name]
+                await self.act(
+                    Process(process.pid, lambda p=process: p.poll() is None), behaviour, addresses
+                )
+                await self.check_gateway_answers(addresses[0])
+                good = True
+            if not good:
+                if system.processes[name].poll() is None:
+                    system.kill(name)
+                system.start_service("entry-1", "gateway")
+                await self.check_gateway_answers(addresses[0])
+
+    async def check_gateway_answers(self, address: str) -> None:
+        async def answers() -> bool:
+            client = Client(address)
+            answer = await client.call("GET", "/v1/health", None, Host="a")
+            client.close()
+            return answer is not None and answer.status == 200
+
+        await until(answers, "an ordinary request is answered", ANSWER_S)
+
+
+if __name__ == "__main__":
+    testing.main()
