--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -81,6 +81,7 @@
     EventInfo{Event::kCallRefused, "call_refused", Severity::kInfo},
     EventInfo{Event::kReadyChanged, "ready_changed", Severity::kInfo},
     EventInfo{Event::kJobHidden, "job_hidden", Severity::kInfo},
+    EventInfo{Event::kClientsRefused, "clients_refused", Severity::kInfo},
 };
 
 /// A longer value is cut, and fields that do not fit are left out.
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -85,6 +85,9 @@
   kReadyChanged = 422,
   /// The caller of a request may not see the job that it names.
   kJobHidden = 423,
+  /// Requests of clients were refused before they ran, or connections closed,
+  /// for a limit.
+  kClientsRefused = 430,
 };
 
 enum class Severity : std::uint8_t { kInfo, kWarning, kError };
--- a/Libraries/LibEntry/entry_service.cc
+++ b/Libraries/LibEntry/entry_service.cc
@@ -74,7 +74,8 @@
       [raw](const net::HttpRequest& request, const net::HttpReply& reply) {
         raw->OnPeerRequest(request, reply);
       },
-      reason);
+      // Peers keep their connections open and send messages of several MB.
+      reason, net::HttpLimits{}, dependencies.connections);
   if (service->peer_server_ == nullptr) {
     return nullptr;
   }
@@ -143,6 +144,12 @@
   }
 }
 
+auto EntryService::OnNewRoutes(std::function<void(const RouteTable&)> listener)
+    -> void {
+  routes_listener_ = std::move(listener);
+  routes_listener_(routes_);
+}
+
 auto EntryService::IsReady() const -> bool {
   constexpr Millis kHolderLostMs = 2000;
   if (draining_ || routes_.version == 0) {
@@ -444,6 +451,9 @@
   if (holder_ != nullptr) {
     holder_->SetRoutes(routes_);
   }
+  if (routes_listener_) {
+    routes_listener_(routes_);
+  }
 }
 
 auto EntryService::FetchRoutes(const core::Address& peer) -> void {
--- a/Libraries/LibEntry/entry_service.h
+++ b/Libraries/LibEntry/entry_service.h
@@ -40,6 +40,9 @@
   const PlatformDecoders& decoders;
   node::Metrics& metrics;
   net::TrafficMeter& traffic;
+  /// Connections of all servers of the process; nullptr for bounds of the
+  /// server for peers alone.
+  std::shared_ptr<net::ConnectionTable> connections = nullptr;
 };
 
 /// Core of an entry process, which answers clients and, while it holds the
@@ -57,6 +60,10 @@
 
   auto SetSettings(const EntrySettings& settings) -> void;
 
+  /// Calls `listener` with each newer configuration, and with the present one
+  /// at once.
+  auto OnNewRoutes(std::function<void(const RouteTable&)> listener) -> void;
+
   /// Is no longer ready, and leaves the term to the others: resigns it as soon
   /// as one of them is known that does not drain as well, and claims it only
   /// while none is.
@@ -130,6 +137,7 @@
   EntryDependencies dependencies_;
   EntrySettings settings_;
   RouteTable routes_;
+  std::function<void(const RouteTable&)> routes_listener_;
   /// Any call of the holder, or of the peers, may end the term and reset this.
   /// A function that makes one and goes on with the holder takes it as an
   /// argument.
--- a/Libraries/LibEntry/entry_settings.h
+++ b/Libraries/LibEntry/entry_settings.h
@@ -26,6 +26,8 @@
   core::Address store;
   /// Processor capacity of this VM in cores; zero if unknown.
   double cpu_capacity = 0;
+  /// Memory of this VM; zero if unknown.
+  std::int64_t memory_mb = 0;
   /// Descriptors that the process may have; zero if unknown.
   std::int64_t max_descriptors = 0;
   /// Peers to contact at the start; some may no longer exist.
--- a/Libraries/LibEntry/route_table.cc
+++ b/Libraries/LibEntry/route_table.cc
@@ -15,6 +15,19 @@
   return best;
 }
 
+auto RouteTable::ClientLimits() const -> net::HttpLimits {
+  const RouteTable defaults;
+  const auto limit = [&](auto RouteTable::*member) {
+    return this->*member > 0 ? this->*member : defaults.*member;
+  };
+  return {.max_header_bytes =
+              static_cast<std::size_t>(limit(&RouteTable::max_header_bytes)),
+          .max_body_bytes =
+              static_cast<std::size_t>(limit(&RouteTable::max_body_bytes)),
+          .header_timeout_ms = limit(&RouteTable::header_timeout_ms),
+          .idle_timeout_ms = limit(&RouteTable::idle_timeout_ms)};
+}
+
 auto RouteTable::QueuePolicies() const
     -> std::map<std::string, dispatch::QueuePolicy> {
   std::map<std::string, dispatch::QueuePolicy> policies;
--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr ev_ssize_t kMaxBodyBytes = ev_ssize_t{8} * 1024 * 1024;
 constexpr int kListenBacklog = 1024;
 
 struct MethodName {
@@ -60,9 +59,10 @@
   return text;
 }
 
-auto BodyOf(evbuffer* buffer) -> std::string {
+/// Moves the body out of a buffer, so that it is held once.
+auto TakeBody(evbuffer* buffer) -> std::string {
   std::string body(evbuffer_get_length(buffer), '\0');
-  evbuffer_copyout(buffer, body.data(), body.size());
+  evbuffer_remove(buffer, body.data(), body.size());
   return body;
 }
 
@@ -92,7 +92,7 @@
        pair = pair->next.tqe_next) {
     request.headers[ToLower(pair->key)] = pair->value;
   }
-  request.body = BodyOf(evhttp_request_get_input_buffer(source));
+  request.body = TakeBody(evhttp_request_get_input_buffer(source));
   return request;
 }
 
@@ -120,28 +120,11 @@
   std::shared_ptr<HttpServer::Shared> server_;
 };
 
-auto OnConnectionEnded(evhttp_connection* /*connection*/, void* argument)
-    -> void {
-  delete static_cast<PendingRequest*>(argument);
-}
-
-auto OnWritten(evhttp_request* request, void* argument) -> void {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
-                                nullptr);
-  delete static_cast<PendingRequest*>(argument);
-}
-
 /// Keeps a request pending until its response is written.
 auto ReleaseOnceWritten(evhttp_request* request,
+                        ConnectionGuard& guard,
                         std::unique_ptr<PendingRequest> pending) -> void {
-  auto* connection = evhttp_request_get_connection(request);
-  if (connection == nullptr) {
-    // The client is gone, and evhttp writes nothing.
-    return;
-  }
-  auto* argument = pending.release();
-  evhttp_request_set_on_complete_cb(request, OnWritten, argument);
-  evhttp_connection_set_closecb(connection, OnConnectionEnded, argument);
+  guard.OnceWritten(request, [kept = std::shared_ptr(std::move(pending))] {});
 }
 
 }  // namespace
@@ -152,16 +135,19 @@
   evhttp_request* request = nullptr;
   std::shared_ptr<HttpServer::Shared> server;
   std::unique_ptr<PendingRequest> pending;
+  std::unique_ptr<HandledBytes> held;
   std::function<void(const HttpResponse&)> listener;
 
   State(evhttp_request* open_request,
-        const std::shared_ptr<HttpServer::Shared>& open_server)
+        const std::shared_ptr<HttpServer::Shared>& open_server,
+        std::unique_ptr<HandledBytes> held_bytes)
       : request(open_request),
         server(open_server),
-        pending(std::make_unique<PendingRequest>(open_server)) {}
+        pending(std::make_unique<PendingRequest>(open_server)),
+        held(std::move(held_bytes)) {}
   ~State() {
     if (request != nullptr && server->alive) {
-      ReleaseOnceWritten(request, std::move(pending));
+      ReleaseOnceWritten(request, *server->guard, std::move(pending));
       evhttp_send_error(request, kHttpInternalError, nullptr);
     }
   }
@@ -179,6 +165,7 @@
     listener(response);
   }
   auto* request = std::exchange(state_->request, nullptr);
+  state_->held.reset();
   if (request == nullptr || !state_->server->alive) {
     state_->pending.reset();
     return;
@@ -190,7 +177,8 @@
   if (state_->server->closing) {
     evhttp_add_header(headers, "Connection", "close");
   }
-  ReleaseOnceWritten(request, std::move(state_->pending));
+  ReleaseOnceWritten(request, *state_->server->guard,
+                     std::move(state_->pending));
   auto* body = evbuffer_new();
   evbuffer_add(body, response.body.data(), response.body.size());
   evhttp_send_reply(request, response.status, nullptr, body);
@@ -211,7 +199,10 @@
 auto HttpServer::create(EventLoop& loop,
                         const core::Address& address,
                         Handler handler,
-                        core::Reason& reason) -> std::unique_ptr<HttpServer> {
+                        core::Reason& reason,
+                        const HttpLimits& limits,
+                        std::shared_ptr<ConnectionTable> table)
+    -> std::unique_ptr<HttpServer> {
   sockaddr_in target{};
   target.sin_family = AF_INET;
   target.sin_port = htons(address.port);
@@ -230,17 +221,24 @@
     return nullptr;
   }
   auto* server = evhttp_new(loop.base());
-  evhttp_set_max_body_size(server, kMaxBodyBytes);
   evhttp_set_allowed_methods(server, AllMethods());
+  if (table == nullptr) {
+    table = std::make_shared<ConnectionTable>(MakeConnectionBounds(0, 0));
+  }
+  auto guard = std::make_unique<ConnectionGuard>(loop.base(), server,
+                                                 std::move(table), limits);
   auto* socket = evhttp_bind_listener(server, listener);
+  guard->set_socket(socket);
   return std::unique_ptr<HttpServer>(
-      new HttpServer(server, socket, std::move(handler)));
+      new HttpServer(server, socket, std::move(guard), std::move(handler)));
 }
 
 HttpServer::HttpServer(evhttp* server,
                        evhttp_bound_socket* socket,
+                       std::unique_ptr<ConnectionGuard> guard,
                        Handler handler)
     : server_(server), socket_(socket), handler_(std::move(handler)) {
+  shared_->guard = std::move(guard);
   evhttp_set_gencb(server_, OnRequest, this);
 }
 
@@ -248,17 +246,26 @@
   StopListening();
   shared_->alive = false;
   evhttp_free(server_);
+  shared_->guard.reset();
 }
 
 auto HttpServer::StopListening() -> void {
   shared_->closing = true;
   if (auto* socket = std::exchange(socket_, nullptr)) {
+    shared_->guard->set_socket(nullptr);
     evhttp_del_accept_socket(server_, socket);
   }
 }
 
 auto HttpServer::Dispatch(evhttp_request* request) -> void {
-  auto state = std::make_shared<HttpReply::State>(request, shared_);
+  auto held = shared_->guard->OnRequest(request);
+  if (held == nullptr) {
+    // Refused while evhttp was reading it; the connection is about to close.
+    evhttp_send_error(request, kHttpServiceUnavailable, nullptr);
+    return;
+  }
+  auto state =
+      std::make_shared<HttpReply::State>(request, shared_, std::move(held));
   handler_(ToRequest(request), HttpReply(std::move(state)));
 }
 
--- a/Libraries/LibNet/http_server.h
+++ b/Libraries/LibNet/http_server.h
@@ -6,7 +6,10 @@
 
 #include "LibCore/address.h"
 #include "LibCore/reason.h"
+#include "LibNet/connection_guard.h"
+#include "LibNet/connection_table.h"
 #include "LibNet/event_loop.h"
+#include "LibNet/http_limits.h"
 #include "LibNet/http_message.h"
 
 struct evhttp;
@@ -46,12 +49,16 @@
   using Handler = std::function<void(HttpRequest, HttpReply)>;
 
   /// Opens a server that listens on `address`.
+  /// @param table connections of all servers of the process; nullptr for a
+  ///     table of its own with the bounds of a machine of unknown size.
   /// @return the server, or nothing with `reason` naming the address.
   [[nodiscard]] static auto create(EventLoop& loop,
                                    const core::Address& address,
                                    Handler handler,
-                                   core::Reason& reason)
-      -> std::unique_ptr<HttpServer>;
+                                   core::Reason& reason,
+                                   const HttpLimits& limits = {},
+                                   std::shared_ptr<ConnectionTable> table =
+                                       nullptr) -> std::unique_ptr<HttpServer>;
 
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -61,6 +68,11 @@
   /// open connection is closed after its next response.
   auto StopListening() -> void;
 
+  /// Changes the limits of open and later connections.
+  auto SetLimits(const HttpLimits& limits) -> void {
+    shared_->guard->SetLimits(limits);
+  }
+
   /// Keeps accepting connections, but closes each after its next response.
   auto CloseAfterResponses() -> void { shared_->closing = true; }
 
@@ -79,10 +91,14 @@
     bool closing = false;
     /// False once the server is destroyed; replies then send nothing.
     bool alive = true;
+    std::unique_ptr<ConnectionGuard> guard;
   };
 
  private:
-  HttpServer(evhttp* server, evhttp_bound_socket* socket, Handler handler);
+  HttpServer(evhttp* server,
+             evhttp_bound_socket* socket,
+             std::unique_ptr<ConnectionGuard> guard,
+             Handler handler);
 
   evhttp* server_;
   evhttp_bound_socket* socket_;
--- a/Libraries/LibNode/metrics.cc
+++ b/Libraries/LibNode/metrics.cc
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr std::size_t kMaxSeriesPerFamily = 256;
+/// Scrapes have short heads and no body, and the same time for the head as
+/// clients.
+constexpr net::HttpLimits kScrapeLimits = {.max_header_bytes = 16384,
+                                           .max_body_bytes = 16384,
+                                           .header_timeout_ms = 3000};
 
 auto LabelsOf(const std::string& label, const std::string& value)
     -> prometheus::Labels {
@@ -23,8 +28,16 @@
 
 auto Metrics::create(net::EventLoop& loop,
                      const core::Address& address,
-                     core::Reason& reason) -> std::unique_ptr<Metrics> {
+                     core::Reason& reason,
+                     std::shared_ptr<net::ConnectionTable> table)
+    -> std::unique_ptr<Metrics> {
   std::unique_ptr<Metrics> metrics(new Metrics());
+  if (table == nullptr) {
+    table =
+        std::make_shared<net::ConnectionTable>(net::MakeConnectionBounds(0, 0));
+  }
+  metrics->OnScrape(
+      [raw = metrics.get(), table] { raw->SampleConnections(*table); });
   metrics->server_ = net::HttpServer::create(
       loop, address,
       [raw = metrics.get()](const net::HttpRequest& /*request*/,
@@ -33,7 +46,7 @@
                     {{"content-type", "text/plain; version=0.0.4"}},
                     raw->Serialize()});
       },
-      reason);
+      reason, kScrapeLimits, table);
   return metrics->server_ == nullptr ? nullptr : std::move(metrics);
 }
 
@@ -110,6 +123,16 @@
   return series;
 }
 
+auto Metrics::SampleConnections(net::ConnectionTable& table) -> void {
+  Set("http_connections", static_cast<double>(table.connections()));
+  Set("http_held_bytes", static_cast<double>(table.bytes()));
+  for (const auto& row : core::EnumNames<net::RefusalKind>::kRows) {
+    SetTotal("http_refusals",
+             static_cast<double>(table.refusals().total(row.value)), "kind",
+             std::string(row.name));
+  }
+}
+
 auto Metrics::Serialize() -> std::string {
   for (const auto& sampler : samplers_) {
     sampler();
--- a/Libraries/LibNode/metrics.h
+++ b/Libraries/LibNode/metrics.h
@@ -24,11 +24,14 @@
   using Sampler = std::function<void()>;
 
   /// Starts the metrics server.
+  /// @param table connections of all servers of the process, of which the
+  ///     metrics tell, too; nullptr for bounds of the metrics server alone.
   /// @return the metrics, or null with `reason` naming the address.
   [[nodiscard]] static auto create(net::EventLoop& loop,
                                    const core::Address& address,
-                                   core::Reason& reason)
-      -> std::unique_ptr<Metrics>;
+                                   core::Reason& reason,
+                                   std::shared_ptr<net::ConnectionTable> table =
+                                       nullptr) -> std::unique_ptr<Metrics>;
 
   /// Increments the counter `name`, with at most one label.
   auto Count(const std::string& name,
@@ -73,6 +76,7 @@
                  const std::string& label,
                  const std::string& value) -> prometheus::Counter&;
   auto Serialize() -> std::string;
+  auto SampleConnections(net::ConnectionTable& table) -> void;
 
   prometheus::Registry registry_;
   std::map<std::string, Family<prometheus::Counter>> counters_;
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -73,8 +73,12 @@
   if (node->bus_ == nullptr) {
     return nullptr;
   }
-  node->metrics_ =
-      Metrics::create(node->loop_, own.*InfoOf(role).metrics, reason);
+  const auto is_gateway = role == Role::kGateway;
+  node->connections_ = std::make_shared<net::ConnectionTable>(
+      net::MakeConnectionBounds(is_gateway ? own.gateway_memory_mb : 0,
+                                is_gateway ? own.gateway_max_descriptors : 0));
+  node->metrics_ = Metrics::create(node->loop_, own.*InfoOf(role).metrics,
+                                   reason, node->connections_);
   if (node->metrics_ == nullptr) {
     return nullptr;
   }
--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -58,6 +58,11 @@
     return *offset_barrier_;
   }
   [[nodiscard]] auto metrics() -> Metrics& { return *metrics_; }
+  /// @return the connections of all HTTP servers of this process.
+  [[nodiscard]] auto connections()
+      -> const std::shared_ptr<net::ConnectionTable>& {
+    return connections_;
+  }
   [[nodiscard]] auto tracer() -> Tracer& { return tracer_; }
 
   /// @return bus names of one role on the other entry VMs.
@@ -76,6 +81,7 @@
   net::EventLoop loop_;
   net::HttpClient http_;
   std::unique_ptr<net::Bus> bus_;
+  std::shared_ptr<net::ConnectionTable> connections_;
   std::unique_ptr<Metrics> metrics_;
   LogState log_;
   platform::HttpLogClient log_client_;
--- a/Libraries/LibNode/node_settings.cc
+++ b/Libraries/LibNode/node_settings.cc
@@ -50,6 +50,29 @@
     core::Field<NodeSettings>{"gateway.connections_per_minion",
                               &NodeSettings::connections_per_minion, false, 1,
                               65535, "connections that a minion accepts"},
+    core::Field<NodeSettings>{
+        "gateway.memory_mb", &NodeSettings::gateway_memory_mb, false, 0, 1e9,
+        "memory that the gateway may use, a quarter of it for requests and "
+        "answers; 0 for 512"},
+    core::Field<NodeSettings>{
+        "gateway.max_descriptors", &NodeSettings::gateway_max_descriptors,
+        false, 0, 1e9,
+        "descriptors that the gateway may use, a quarter of them for callers; "
+        "0 for the limit of the process"},
+    core::Field<NodeSettings>{"gateway.max_header_bytes",
+                              &NodeSettings::max_header_bytes, false, 1024, 1e6,
+                              "longest head of a call"},
+    core::Field<NodeSettings>{"gateway.max_body_bytes",
+                              &NodeSettings::max_body_bytes, false, 1024, 1e8,
+                              "longest body of a call"},
+    core::Field<NodeSettings>{"gateway.header_timeout_ms",
+                              &NodeSettings::header_timeout_ms, false, 100, 6e5,
+                              "longest time in which a head arrives"},
+    core::Field<NodeSettings>{
+        "gateway.idle_timeout_ms", &NodeSettings::idle_timeout_ms, false, 100,
+        6e5,
+        "longest wait for the next call or for more of a body, or until "
+        "a caller reads more of an answer"},
     core::Field<NodeSettings>{"gateway.link_bytes_per_s",
                               &NodeSettings::link_bytes_per_s, false, 0, 1e12,
                               "bytes a second of requests between regions"},
--- a/Libraries/LibNode/node_settings.h
+++ b/Libraries/LibNode/node_settings.h
@@ -53,6 +53,15 @@
   std::int64_t slots_per_minion = 8;
   /// Connections that a minion accepts.
   std::int64_t connections_per_minion = 64;
+  /// Memory and descriptors that the gateway may use; zero if unknown.
+  std::int64_t gateway_memory_mb = 0;
+  std::int64_t gateway_max_descriptors = 0;
+  /// What the gateway accepts of a caller. A fleet of 20,000 workers is a body
+  /// of some 3 MB.
+  std::int64_t max_header_bytes = 16384;
+  std::int64_t max_body_bytes = 8388608;
+  std::int64_t header_timeout_ms = 10000;
+  std::int64_t idle_timeout_ms = 60000;
   std::int64_t lease_ttl_ms = 5000;
   /// Longest time from the preemption of a gang until its last lease expired.
   std::int64_t reclaim_bound_ms = 10000;
--- a/Services/Entry/entry_process.cc
+++ b/Services/Entry/entry_process.cc
@@ -33,6 +33,10 @@
 /// one still answers.
 constexpr Millis kSuccessionMs = 1000;
 constexpr Millis kIdleCheckMs = 50;
+/// Checks of the platform have short heads and no body.
+constexpr net::HttpLimits kReadinessLimits = {.max_header_bytes = 16384,
+                                              .max_body_bytes = 16384,
+                                              .header_timeout_ms = 3000};
 
 auto MaxDrainMs(const EntrySettings& settings) -> Millis {
   return std::max(settings.grace_ms - kExitMarginMs, Millis{0});
@@ -68,14 +72,17 @@
     // peers.
     http_.set_max_idle(static_cast<std::size_t>(settings.max_descriptors / 2));
   }
-  metrics_ = node::Metrics::create(loop_, settings.metrics, reason);
+  connections_ = std::make_shared<net::ConnectionTable>(
+      net::MakeConnectionBounds(settings.memory_mb, settings.max_descriptors));
+  metrics_ =
+      node::Metrics::create(loop_, settings.metrics, reason, connections_);
   if (metrics_ == nullptr) {
     return false;
   }
   store_ = std::make_unique<adapter::StoreClient>(http_, settings.store);
-  service_ = EntryService::create(
-      {loop_, http_, *store_, workers_, decoders_, *metrics_, traffic_},
-      settings, reason);
+  service_ = EntryService::create({loop_, http_, *store_, workers_, decoders_,
+                                   *metrics_, traffic_, connections_},
+                                  settings, reason);
   if (service_ == nullptr || !OpenServers(settings, reason)) {
     return false;
   }
@@ -101,10 +108,13 @@
               reply.Send(adapter::EncodeClientAnswer(answer));
             });
       },
-      reason);
+      reason, service_->routes().ClientLimits(), connections_);
   if (client_server_ == nullptr) {
     return false;
   }
+  service_->OnNewRoutes([this](const RouteTable& routes) {
+    client_server_->SetLimits(routes.ClientLimits());
+  });
   readiness_server_ = net::HttpServer::create(
       loop_, settings.ready,
       [this](const net::HttpRequest& /*request*/, const net::HttpReply& reply) {
@@ -115,7 +125,7 @@
         reply.Send(
             {is_ready ? net::kHttpOk : net::kHttpServiceUnavailable, {}, ""});
       },
-      reason);
+      reason, kReadinessLimits, connections_);
   return readiness_server_ != nullptr;
 }
 
--- a/Services/Entry/entry_process.h
+++ b/Services/Entry/entry_process.h
@@ -51,6 +51,8 @@
   net::TrafficMeter traffic_;
   net::HttpClient http_;
   PlatformDecoders decoders_;
+  /// Of all servers of this process.
+  std::shared_ptr<net::ConnectionTable> connections_;
   std::unique_ptr<node::Metrics> metrics_;
   std::unique_ptr<adapter::StoreClient> store_;
   adapter::WorkerClient workers_;
--- a/Services/Gateway/gateway_service.cc
+++ b/Services/Gateway/gateway_service.cc
@@ -100,12 +100,18 @@
 auto GatewayService::create(node::Node& node, core::Reason& reason)
     -> std::unique_ptr<node::Service> {
   auto service = std::make_unique<GatewayService>(node);
+  const auto& settings = node.settings();
+  const net::HttpLimits limits = {
+      .max_header_bytes = static_cast<std::size_t>(settings.max_header_bytes),
+      .max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes),
+      .header_timeout_ms = settings.header_timeout_ms,
+      .idle_timeout_ms = settings.idle_timeout_ms};
   service->server_ = net::HttpServer::create(
-      node.loop(), node.settings().gateway_http,
+      node.loop(), settings.gateway_http,
       [raw = service.get()](net::HttpRequest request, net::HttpReply reply) {
         raw->OnRequest(std::move(request), std::move(reply));
       },
-      reason);
+      reason, limits, node.connections());
   return service->server_ == nullptr ? nullptr : std::move(service);
 }
 
--- a/Tests/Platform/decode_test.cc
+++ b/Tests/Platform/decode_test.cc
@@ -242,9 +242,37 @@
                           R"(,"tenants":[{"name":"t","api_keys":[7]}])"},
         ConfigurationCase{"BodyBytesNegative", "",
                           R"(,"limits":{"max_body_bytes":-1})"},
+        ConfigurationCase{"AllLimits", "",
+                          R"(,"limits":{"max_header_bytes":16384,)"
+                          R"("max_body_bytes":262144,)"
+                          R"("header_timeout_ms":3000,)"
+                          R"("idle_timeout_ms":15000.5})",
+                          true},
+        ConfigurationCase{"HeaderBytesNegative", "",
+                          R"(,"limits":{"max_header_bytes":-1})"},
+        ConfigurationCase{"HeaderTimeoutNegative", "",
+                          R"(,"limits":{"header_timeout_ms":-1})"},
+        ConfigurationCase{"IdleTimeoutHuge", "",
+                          R"(,"limits":{"idle_timeout_ms":1e300})"},
         ConfigurationCase{"LimitsNumber", "", R"(,"limits":7)"}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a client server that applies limits which the operators did
+// not set, or that refuses everything for a limit of zero.
+TEST(Configuration, GivesTheLimitsOfClients) {
+  core::Reason reason;
+  const auto set = DecodeConfiguration(
+      R"({"version":1,"routes":[],"limits":{"max_header_bytes":2000,)"
+      R"("max_body_bytes":0,"header_timeout_ms":40}})",
+      reason);
+  ASSERT_TRUE(set) << reason.message;
+  const auto limits = set->ClientLimits();
+  EXPECT_EQ(limits.max_header_bytes, 2000U);
+  EXPECT_EQ(limits.max_body_bytes, 262144U);
+  EXPECT_EQ(limits.header_timeout_ms, 40);
+  EXPECT_EQ(limits.idle_timeout_ms, 15000);
+}
+
 TEST(Records, AreDecodedAsEncoded) {
   const std::vector<dispatch::StateRow> rows = {{"a", "1"}, {"b", ""}};
   const std::string offsets("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x07", 16);
