--- a/Libraries/LibNet/connection_guard.cc
+++ b/Libraries/LibNet/connection_guard.cc
@@ -47,8 +47,13 @@
 constexpr Millis kMaxDropMs = 2000;
 /// Interval at which time limits are checked, for all connections together.
 constexpr Millis kSweepMs = 500;
+/// A client that reads nothing of an answer for this time, while the system's
+/// buffers are full, does not read it. Answers to clients fit in the buffers.
+constexpr Millis kStalledMs = 2000;
 /// A client at its limit is not refused for the time that bytes are under way.
-constexpr Millis kTimeMargin = 500;
+/// Its times are read from a clock that is one interval old, or two on a
+/// machine with little processor time.
+constexpr Millis kTimeMargin = 500 + kSweepMs;
 
 struct StatusLine {
   int status;
@@ -101,26 +106,29 @@
 template <typename Function>
 auto ReadLast(evbuffer* buffer, std::size_t bytes, Function function) -> void {
   constexpr int kParts = 8;
-  std::array<evbuffer_iovec, kParts> parts{};
+  std::array<evbuffer_iovec, kParts> parts;
   evbuffer_ptr position;
-  auto next = evbuffer_get_length(buffer) - bytes;
-  auto how = EVBUFFER_PTR_SET;
-  while (bytes > 0 && evbuffer_ptr_set(buffer, &position, next, how) == 0) {
+  auto skipped = evbuffer_get_length(buffer) - bytes;
+  while (bytes > 0) {
+    // Mostly the input was empty before, and no position has to be looked up.
+    auto* const start = skipped == 0 ? nullptr : &position;
+    if (start != nullptr &&
+        evbuffer_ptr_set(buffer, start, skipped, EVBUFFER_PTR_SET) != 0) {
+      return;
+    }
     const auto count =
         std::min(kParts, evbuffer_peek(buffer, static_cast<ev_ssize_t>(bytes),
-                                       &position, parts.data(), kParts));
-    next = 0;
+                                       start, parts.data(), kParts));
+    if (count <= 0) {
+      return;
+    }
     for (int index = 0; index < count; ++index) {
-      const auto& part = parts.at(static_cast<std::size_t>(index));
+      const auto& part = parts[static_cast<std::size_t>(index)];
       const auto size = std::min(part.iov_len, bytes);
       function(std::string_view(static_cast<const char*>(part.iov_base), size));
-      next += size;
+      skipped += size;
       bytes -= size;
     }
-    if (next == 0) {
-      return;
-    }
-    how = EVBUFFER_PTR_ADD;
   }
 }
 
@@ -135,7 +143,7 @@
         input_(bufferevent_get_input(stream)),
         output_(bufferevent_get_output(stream)),
         entry_(guard.table_->Add(*this)),
-        since_(core::MonotonicNow()) {
+        since_(guard.last_sweep_at_) {
     evbuffer_add_cb(input_, OnInput, this);
     evbuffer_add_cb(output_, OnOutput, this);
     CountBytes();
@@ -148,9 +156,6 @@
       evbuffer_remove_cb(output_, OnOutput, this);
     }
     guard_.table_->Remove(entry_);
-    if (done_) {
-      done_();
-    }
   }
   Connection(const Connection&) = delete;
   auto operator=(const Connection&) -> Connection& = delete;
@@ -212,40 +217,33 @@
     }
     max_input_ =
         std::max(limits.max_body_bytes, limits.max_header_bytes) + kReadMargin;
-    if (entry_->phase == ConnectionPhase::kReceiving) {
-      bufferevent_setwatermark(stream_, EV_READ, 0, max_input_);
-    }
   }
 
-  [[nodiscard]] auto OnRequest() -> std::unique_ptr<HandledBytes> {
+  [[nodiscard]] auto OnRequest() -> std::optional<HandledBytes> {
     if (refused_status_ != 0 || is_ended_) {
-      return nullptr;
+      return std::nullopt;
     }
     guard_.table_->RecordRequest(entry_);
-    auto held = std::make_unique<HandledBytes>(guard_.table_, RequestBytes());
+    std::optional<HandledBytes> held(std::in_place, guard_.table_,
+                                     RequestBytes());
     scanner_ = {};
     body_bytes_ = 0;
     CountBytes();
-    // Otherwise evhttp reads on while the answer is written.
-    bufferevent_setwatermark(stream_, EV_READ, 0, kPipelineBytes);
     return held;
   }
 
-  auto OnAnswer(std::function<void()> done) -> void {
-    done_ = std::move(done);
-    since_ = core::MonotonicNow();
+  auto OnAnswer(Kept kept) -> void {
+    kept_ = std::move(kept);
+    since_ = guard_.last_sweep_at_;
     guard_.table_->SetPhase(entry_, ConnectionPhase::kAnswering);
   }
 
   /// The answer is written whole; the next request may have arrived.
   auto OnWritten() -> void {
-    if (auto done = std::exchange(done_, nullptr)) {
-      done();
-    }
+    kept_.reset();
     guard_.table_->SetPhase(entry_, ConnectionPhase::kReceiving);
-    since_ = core::MonotonicNow();
+    since_ = guard_.last_sweep_at_;
     has_begun_ = false;
-    bufferevent_setwatermark(stream_, EV_READ, 0, max_input_);
     if (const auto ahead = evbuffer_get_length(input_); ahead > 0) {
       Receive(ahead);
     }
@@ -277,6 +275,10 @@
         }
         return;
       case ConnectionPhase::kAnswering:
+      case ConnectionPhase::kStalled:
+        if (age >= kStalledMs) {
+          guard_.table_->SetPhase(entry_, ConnectionPhase::kStalled);
+        }
         if (is_over(limits.idle_timeout_ms)) {
           Close(RefusalKind::kTooSlow);
         }
@@ -304,9 +306,11 @@
         connection.refused_status_ == 0) {
       connection.OnAnswerOfParser(StatusOf(buffer));
     }
-    if (connection.entry_->phase == ConnectionPhase::kAnswering) {
+    if (connection.IsAnswering()) {
       if (info->n_deleted > 0) {
-        connection.since_ = core::MonotonicNow();
+        connection.since_ = connection.guard_.last_sweep_at_;
+        connection.guard_.table_->SetPhase(connection.entry_,
+                                           ConnectionPhase::kAnswering);
       }
       connection.CountBytes();
       if (info->n_added > 0) {
@@ -315,6 +319,11 @@
     }
   }
 
+  [[nodiscard]] auto IsAnswering() const -> bool {
+    return entry_->phase == ConnectionPhase::kAnswering ||
+           entry_->phase == ConnectionPhase::kStalled;
+  }
+
   auto OnBytesRead(std::size_t bytes) -> void {
     if (refused_status_ != 0 || is_ended_) {
       dropped_bytes_ += bytes;
@@ -329,13 +338,18 @@
     } else {
       CountBytes();
       guard_.table_->EnforceBytes(entry_);
+      if (evbuffer_get_length(input_) >= kPipelineBytes) {
+        // evhttp reads on while the answer is written. It enables reading
+        // again for the next request.
+        bufferevent_disable(stream_, EV_READ);
+      }
     }
   }
 
   /// Counts the last bytes of the input, before evhttp reads them.
   auto Receive(std::size_t bytes) -> void {
     if (!std::exchange(has_begun_, true)) {
-      since_ = core::MonotonicNow();
+      since_ = guard_.last_sweep_at_;
     }
     auto body_bytes = bytes;
     if (!scanner_.done()) {
@@ -348,7 +362,7 @@
       }
     }
     if (scanner_.done()) {
-      since_ = core::MonotonicNow();
+      since_ = guard_.last_sweep_at_;
       body_bytes_ += body_bytes;
       if (body_bytes_ >
               guard_.limits_.max_body_bytes * kChunkFactor + kReadMargin ||
@@ -379,7 +393,7 @@
   auto TakeOver() -> void {
     guard_.table_->SetPhase(entry_, ConnectionPhase::kRefused);
     guard_.table_->SetBytes(entry_, kBytesPerConnection);
-    since_ = core::MonotonicNow();
+    since_ = guard_.last_sweep_at_;
     bufferevent_disable(stream_, EV_WRITE);
     bufferevent_setcb(
         stream_, nullptr, nullptr,
@@ -396,7 +410,6 @@
       End();
       return;
     }
-    bufferevent_setwatermark(stream_, EV_READ, 0, kPipelineBytes);
     bufferevent_enable(stream_, EV_READ);
   }
 
@@ -447,7 +460,8 @@
   std::size_t max_input_ = 0;
   std::size_t dropped_bytes_ = 0;
   /// Start of the present phase of the connection, or the last time when a part
-  /// of a body was read or of an answer was written.
+  /// of a body was read or of an answer was written; on the clock of the last
+  /// check of time limits, as an ordinary request should not read the time.
   Millis since_;
   /// Whether a byte of the next request has arrived.
   bool has_begun_ = false;
@@ -455,7 +469,8 @@
   int refused_status_ = 0;
   bool is_taken_over_ = false;
   bool is_ended_ = false;
-  std::function<void()> done_;
+  /// Released when the answer is written.
+  Kept kept_{nullptr, [](void* /*unused*/) {}};
 };
 
 ConnectionGuard::ConnectionGuard(event_base* base,
@@ -587,19 +602,18 @@
 }
 
 auto ConnectionGuard::OnRequest(evhttp_request* request)
-    -> std::unique_ptr<HandledBytes> {
+    -> std::optional<HandledBytes> {
   auto* connection = FindConnection(request);
-  return connection == nullptr ? nullptr : connection->OnRequest();
+  return connection == nullptr ? std::nullopt : connection->OnRequest();
 }
 
-auto ConnectionGuard::OnceWritten(evhttp_request* request,
-                                  std::function<void()> done) -> void {
+auto ConnectionGuard::KeepUntilWritten(evhttp_request* request, Kept kept)
+    -> void {
   auto* connection = FindConnection(request);
   if (connection == nullptr) {
-    done();
     return;
   }
-  connection->OnAnswer(std::move(done));
+  connection->OnAnswer(std::move(kept));
   evhttp_request_set_on_complete_cb(
       request,
       [](evhttp_request* /*request*/, void* self) {
--- a/Libraries/LibNet/connection_guard.h
+++ b/Libraries/LibNet/connection_guard.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <cstddef>
-#include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "LibNet/connection_table.h"
@@ -25,8 +26,14 @@
       : table_(std::move(table)), bytes_(bytes) {
     table_->AddHandled(bytes_);
   }
-  ~HandledBytes() { table_->SubtractHandled(bytes_); }
+  ~HandledBytes() {
+    if (table_ != nullptr) {
+      table_->SubtractHandled(bytes_);
+    }
+  }
+  HandledBytes(HandledBytes&&) = default;
   HandledBytes(const HandledBytes&) = delete;
+  auto operator=(HandledBytes&&) -> HandledBytes& = delete;
   auto operator=(const HandledBytes&) -> HandledBytes& = delete;
 
  private:
@@ -60,15 +67,18 @@
   auto SetLimits(const HttpLimits& limits) -> void;
 
   /// Records that a request has been received whole and is handled now.
-  /// @return what is held for it, or nullptr if its connection was refused and
+  /// @return what is held for it, or nothing if its connection was refused and
   ///     it must not run.
   [[nodiscard]] auto OnRequest(evhttp_request* request)
-      -> std::unique_ptr<HandledBytes>;
+      -> std::optional<HandledBytes>;
+
+  /// An object of any type, with the function that destroys it.
+  using Kept = std::unique_ptr<void, void (*)(void*)>;
 
-  /// Calls `done` once, when the answer to a request is written or its
-  /// connection has ended; at once if the client is gone already. Call it
-  /// before the answer is passed to evhttp.
-  auto OnceWritten(evhttp_request* request, std::function<void()> done) -> void;
+  /// Keeps an object until the answer to a request is written or its connection
+  /// has ended; not at all if the client is gone already. Call it before the
+  /// answer is passed to evhttp.
+  auto KeepUntilWritten(evhttp_request* request, Kept kept) -> void;
 
  private:
   class Connection;
--- a/Libraries/LibNet/connection_table.cc
+++ b/Libraries/LibNet/connection_table.cc
@@ -102,9 +102,9 @@
 }
 
 auto ConnectionTable::FindVictim(std::size_t min_bytes) -> Entry* {
-  constexpr std::array kOrder = {ConnectionPhase::kRefused,
-                                 ConnectionPhase::kReceiving,
-                                 ConnectionPhase::kAnswering};
+  constexpr std::array kOrder = {
+      ConnectionPhase::kRefused, ConnectionPhase::kStalled,
+      ConnectionPhase::kReceiving, ConnectionPhase::kAnswering};
   for (const auto phase : kOrder) {
     for (auto* list : {&unproven_, &proven_}) {
       for (auto& entry : *list) {
--- a/Libraries/LibNet/connection_table.h
+++ b/Libraries/LibNet/connection_table.h
@@ -27,6 +27,8 @@
 enum class ConnectionPhase : std::uint8_t {
   /// Was refused, and is about to be closed.
   kRefused,
+  /// Does not read its answer.
+  kStalled,
   /// Waits for a request or receives one.
   kReceiving,
   kAnswering,
@@ -44,12 +46,13 @@
 /// The client connections of a process and what is held for them, and the
 /// decision which one is closed when they take too much.
 ///
-/// Connections that have not sent a whole request come first, the oldest of
-/// them first; then those that have, by the time of their last one. Connections
-/// to which an answer is being written come after these, and one whose request
-/// is being handled is never closed. Where bytes are short, only a connection
-/// that holds at least the average is closed: to close others would free
-/// little.
+/// Connections that do not read their answers come first: they would otherwise
+/// stay until a caller that was just accepted had to go. Then those follow that
+/// have not sent a whole request, the oldest of them first, and those that
+/// have, by the time of their last one. Connections to which an answer is being
+/// written come after these, and one whose request is being handled is never
+/// closed. Where bytes are short, only a connection that holds at least the
+/// average is closed: to close others would free little.
 class ConnectionTable {
  public:
   struct Entry {
--- a/Libraries/LibNet/http_server.cc
+++ b/Libraries/LibNet/http_server.cc
@@ -124,7 +124,10 @@
 auto ReleaseOnceWritten(evhttp_request* request,
                         ConnectionGuard& guard,
                         std::unique_ptr<PendingRequest> pending) -> void {
-  guard.OnceWritten(request, [kept = std::shared_ptr(std::move(pending))] {});
+  guard.KeepUntilWritten(request,
+                         {pending.release(), [](void* released) {
+                            delete static_cast<PendingRequest*>(released);
+                          }});
 }
 
 }  // namespace
@@ -135,12 +138,12 @@
   evhttp_request* request = nullptr;
   std::shared_ptr<HttpServer::Shared> server;
   std::unique_ptr<PendingRequest> pending;
-  std::unique_ptr<HandledBytes> held;
+  std::optional<HandledBytes> held;
   std::function<void(const HttpResponse&)> listener;
 
   State(evhttp_request* open_request,
         const std::shared_ptr<HttpServer::Shared>& open_server,
-        std::unique_ptr<HandledBytes> held_bytes)
+        HandledBytes held_bytes)
       : request(open_request),
         server(open_server),
         pending(std::make_unique<PendingRequest>(open_server)),
@@ -259,13 +262,13 @@
 
 auto HttpServer::Dispatch(evhttp_request* request) -> void {
   auto held = shared_->guard->OnRequest(request);
-  if (held == nullptr) {
+  if (!held) {
     // Refused while evhttp was reading it; the connection is about to close.
     evhttp_send_error(request, kHttpServiceUnavailable, nullptr);
     return;
   }
   auto state =
-      std::make_shared<HttpReply::State>(request, shared_, std::move(held));
+      std::make_shared<HttpReply::State>(request, shared_, std::move(*held));
   handler_(ToRequest(request), HttpReply(std::move(state)));
 }
 
--- a/Tests/LibNet/connection_table_test.cc
+++ b/Tests/LibNet/connection_table_test.cc
@@ -97,6 +97,23 @@
   EXPECT_FALSE(handled.is_closed());
 }
 
+// Guards against callers that are closed as soon as they are accepted, because
+// all other connections wait for clients that do not read.
+TEST(ConnectionTable, ClosesWhoDoesNotReadBeforeWhoHasJustConnected) {
+  ConnectionTable table({kMaxBytes, 3});
+  FakeConnection reading(table);
+  reading.SendRequest();
+  reading.SetPhase(ConnectionPhase::kAnswering);
+  FakeConnection stalled(table);
+  stalled.SendRequest();
+  stalled.SetPhase(ConnectionPhase::kStalled);
+  FakeConnection caller(table);
+  EXPECT_TRUE(table.MakeRoom());
+  EXPECT_TRUE(stalled.is_closed());
+  EXPECT_FALSE(caller.is_closed());
+  EXPECT_FALSE(reading.is_closed());
+}
+
 TEST(ConnectionTable, ClosesNoneWhileThereIsRoom) {
   ConnectionTable table(kBounds);
   FakeConnection first(table);
