--- a/Tests/System/untrusted_clients_test.py
+++ b/Tests/System/untrusted_clients_test.py
@@ -151,6 +151,29 @@
 
         await until(answers, "an ordinary request is answered", ANSWER_S)
 
+    # Guards against limits that the operators change and that hold only after a restart.
+    async def test_entry_applies_new_limits(self) -> None:
+        platform = await self.enterAsyncContext(EntryPlatform(vms=1, machines=0, limits=LIMITS))
+        address = platform.vms[0].address("front")
+
+        async def status_of(body_bytes: int) -> int:
+            client = Client(address)
+            answer = await client.call("POST", "/nowhere/", "x" * (body_bytes - 2), Host=HOST)
+            client.close()
+            return answer.status if answer else 0
+
+        most = LIMITS["max_body_bytes"]
+        self.assertEqual(await status_of(most), 404)
+        self.assertEqual(await status_of(most + 1), 413)
+        platform.limits = {**LIMITS, "max_body_bytes": 1000}
+        platform.configure(2)
+
+        async def is_refused() -> bool:
+            return await status_of(1001) == 413
+
+        await until(is_refused, "the new limit is applied")
+        self.assertEqual(await status_of(1000), 404)
+
     async def test_gateway(self) -> None:
         topology = testing.Topology(
             {"hobart-a": "tas-south"}, {"entry-1": "hobart-a"},
