--- a/Libraries/LibDispatch/dispatch_load.h
+++ b/Libraries/LibDispatch/dispatch_load.h
@@ -20,9 +20,12 @@
   /// Waiting steps ranked.
   std::int64_t steps = 0;
 
+  /// Accounts looked at to compute their shares.
+  std::int64_t accounts = 0;
+
   /// @return the items looked at; each takes about the same time.
   [[nodiscard]] constexpr auto work() const -> std::int64_t {
-    return sessions + workers + runs + jobs + steps;
+    return sessions + workers + runs + jobs + steps + accounts;
   }
 };
 
--- a/Libraries/LibDispatch/dispatch_settings.h
+++ b/Libraries/LibDispatch/dispatch_settings.h
@@ -26,6 +26,9 @@
   core::Millis restore_ms = 100;
   /// How many times as long tasks take outside of the rack that they prefer.
   double remote_factor = 3;
+  /// Orders waiting jobs also by the shares of their accounts; see
+  /// docs/design/account-order.md.
+  bool orders_by_account = true;
 };
 
 }  // namespace kcm::dispatch
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -27,6 +27,7 @@
                          const FormerLeases& former) -> void {
   former_leases_ = former;
   health_.set_watched_since(former.read_at);
+  account_shares_.set_started_at(former.read_at);
   common_bound_ = AddLeaseBound(former.end - former.read_at, former.witnesses);
   job_table_.Load(rows,
                   [this](const std::string& key, const core::Reason& reason) {
@@ -61,6 +62,8 @@
         // The former holder may have sent the start.
         run.start_sent = true;
         run.checkpoint = task.checkpoint;
+        account_shares_.AddRun(PoolAccountOf(job), job.spec.id, run.demand,
+                               false, former.read_at);
         session.AddRun(std::move(run));
         call_schedule_.SetDueNow(task.worker);
       }
@@ -91,6 +94,7 @@
 auto Dispatcher::SetGuarantees(std::map<std::string, std::int64_t> guarantees)
     -> void {
   guarantees_ = std::move(guarantees);
+  account_shares_.SetGuarantees(guarantees_);
   next_plan_at_ = 0;
 }
 
@@ -415,6 +419,7 @@
 
 auto Dispatcher::EndJob(Job& job, JobPhase phase, ClockReading now) -> void {
   job_table_.EndJob(job, phase, now.wall);
+  account_shares_.OnJobEnded(job.spec.id);
   job.batch = next_batch_;
   next_plan_at_ = 0;
   for (auto& step : job.steps) {
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "LibCore/event.h"
 #include "LibCore/reason.h"
+#include "LibDispatch/account_shares.h"
 #include "LibDispatch/call_schedule.h"
 #include "LibDispatch/clock_reading.h"
 #include "LibDispatch/crash_evidence.h"
@@ -145,6 +147,9 @@
       -> const std::map<std::string, WorkerSession>& {
     return sessions_;
   }
+  [[nodiscard]] auto account_shares() const -> const AccountShares& {
+    return account_shares_;
+  }
   [[nodiscard]] auto evacuated() const -> const std::set<std::string>& {
     return evacuated_;
   }
@@ -158,7 +163,20 @@
     JobRank rank;
     /// A task, or a gang, that is kept apart as a suspect; see CrashEvidence.
     bool is_isolated = false;
+    /// How the job's account stands in the group of the rank; nothing while the
+    /// group is not ordered by accounts.
+    std::optional<AccountShare> account_share = std::nullopt;
+    /// It comes after the steps of accounts within their shares.
+    bool is_beyond_share = false;
+
+    [[nodiscard]] auto Group() const -> OrderGroup {
+      return {static_cast<int>(rank.tier), rank.priority};
+    }
   };
+  /// Waiting steps of one tier and priority, in the order of their ranks.
+  using PendingGroup = std::span<PendingStep>;
+  /// The max-min shares of the accounts of one pool, in one group.
+  using PoolShares = std::map<std::string, std::map<std::string, double>>;
 
   auto PolicyOf(const Job& job) const -> const QueuePolicy&;
   /// @param span the leases expire at most this long after the moment that the
@@ -330,6 +348,38 @@
                   const Placement& placement,
                   PlanPass& pass,
                   ClockReading now) -> void;
+  /// Plans the steps of one tier and priority, those of accounts beyond their
+  /// share after the others; see docs/design/account-order.md.
+  auto PlanGroup(PendingGroup group,
+                 const std::map<std::string, bool>& guaranteed_jobs,
+                 PlanPass& pass,
+                 ClockReading now) -> void;
+  /// @return the shares by pool, of the pools in which several accounts have
+  ///     steps in the group which do not all fit.
+  [[nodiscard]] auto SharesInGroup(PendingGroup group,
+                                   const PlanPass& pass,
+                                   ClockReading now) -> PoolShares;
+  /// Compares the usage of a step's account, including the runs placed in this
+  /// pass, with its share.
+  auto CompareShare(PendingStep& pending,
+                    double max_min,
+                    const PlanPass& pass,
+                    ClockReading now) -> void;
+  /// Plans the tasks of a step that the present usage of its account leaves
+  /// room for within its share.
+  /// @return whether that were all, or no more fit.
+  auto PlanWithinShare(PendingStep& pending,
+                       const std::map<std::string, bool>& guaranteed_jobs,
+                       PlanPass& pass,
+                       ClockReading now) -> bool;
+  /// Records what the steps of a group still wait for.
+  auto NoteStillWaiting(PendingGroup group, PlanPass& pass) const -> void;
+  [[nodiscard]] auto PoolAccountOf(const Job& job) const -> PoolAccount {
+    return {PolicyOf(job).service, job.spec.account};
+  }
+  /// Adds the account and its share to the fields of a decision.
+  static auto AddAccountFields(const PendingStep& pending, core::Json& fields)
+      -> void;
   auto GuaranteedJobs() -> std::map<std::string, bool>;
   auto BuildFleetView(ClockReading now) -> FleetView;
   /// Adds the runs to the view, which only some searches need.
@@ -393,6 +443,9 @@
   std::map<std::string, QueuePolicy> queues_;
   std::map<std::string, std::int64_t> guarantees_;
   std::set<std::string> evacuated_;
+  AccountShares account_shares_;
+  /// PlanPass::groups_without_room of the newest planning pass.
+  std::set<std::pair<std::string, OrderGroup>> groups_without_room_;
   WorkerHealth health_;
   SlowWorkers slow_workers_;
   core::Millis next_speeds_at_ = 0;
--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -40,6 +40,7 @@
                              const EndedRun& ended,
                              ClockReading now) -> void {
   next_plan_at_ = 0;
+  account_shares_.RemoveRun(ended.run.task.job, ended.run.demand, now.steady);
   auto* job = job_table_.FindJob(ended.run.task.job);
   auto* task = job == nullptr ? nullptr : job->FindTask(ended.run.task);
   auto fields = LogFields(worker, ended);
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -59,6 +59,8 @@
 
 auto Dispatcher::PlacePendingSteps(ClockReading now) -> void {
   const auto guaranteed_jobs = GuaranteedJobs();
+  account_shares_.SetGuaranteedJobs(guaranteed_jobs, now.steady);
+  account_shares_.Prune(now.steady);
   auto pending_steps = CollectPendingSteps(guaranteed_jobs, now);
   if (pending_steps.empty()) {
     return;
@@ -73,9 +75,14 @@
                    [](const PendingStep& left, const PendingStep& right) {
                      return left.rank < right.rank;
                    });
-  for (auto& pending : pending_steps) {
-    PlanStep(pending, guaranteed_jobs, pass, now);
-  }
+  for (auto first = pending_steps.begin(); first != pending_steps.end();) {
+    const auto last = std::find_if(
+        first, pending_steps.end(),
+        [&](const auto& pending) { return pending.Group() != first->Group(); });
+    PlanGroup({first, last}, guaranteed_jobs, pass, now);
+    first = last;
+  }
+  groups_without_room_ = std::move(pass.groups_without_room);
   ReportLongWaits(pending_steps, pass, now);
 }
 
@@ -104,25 +111,26 @@
     const auto request = BuildPlacementRequest(*pending, pass.fleet, now);
     const auto report = CountWhereFits(pass.fleet, request);
     const auto& spec = *request.step;
-    RecordDecision(core::Event::kStepWaits,
-                   {{"job", pending->job->spec.id},
-                    {"step", pending->step->spec},
-                    {"tasks", request.tasks},
-                    {"age_ms", now.wall - pending->rank.due_at},
-                    {"tier", static_cast<int>(pending->rank.tier)},
-                    {"gang", spec.gang},
-                    {"same_rack", spec.same_rack},
-                    {"data_rack", spec.data_rack},
-                    {"label", spec.required_label},
-                    {"avoided", request.avoid.size()},
-                    {"isolated", pending->is_isolated},
-                    {"workers", pass.fleet.workers.size()},
-                    {"eligible", report.eligible},
-                    {"fit_empty", report.fit_empty},
-                    {"fit_now", report.fit_now},
-                    {"fit_rack_empty", report.fit_rack_empty},
-                    {"fit_rack_now", report.fit_rack_now},
-                    {"reservations", pass.reservations}});
+    core::Json fields = {{"job", pending->job->spec.id},
+                         {"step", pending->step->spec},
+                         {"tasks", request.tasks},
+                         {"age_ms", now.wall - pending->rank.due_at},
+                         {"tier", static_cast<int>(pending->rank.tier)},
+                         {"gang", spec.gang},
+                         {"same_rack", spec.same_rack},
+                         {"data_rack", spec.data_rack},
+                         {"label", spec.required_label},
+                         {"avoided", request.avoid.size()},
+                         {"isolated", pending->is_isolated},
+                         {"workers", pass.fleet.workers.size()},
+                         {"eligible", report.eligible},
+                         {"fit_empty", report.fit_empty},
+                         {"fit_now", report.fit_now},
+                         {"fit_rack_empty", report.fit_rack_empty},
+                         {"fit_rack_now", report.fit_rack_now},
+                         {"reservations", pass.reservations}};
+    AddAccountFields(*pending, fields);
+    RecordDecision(core::Event::kStepWaits, std::move(fields));
   }
 }
 
@@ -275,6 +283,9 @@
     worker.proven_at = health_.ProvenAt(id);
     worker.free = session.info().capacity;
     worker.free -= session.used();
+    auto& pool = fleet.pools[worker.info->service];
+    pool.total += worker.info->capacity;
+    pool.free += worker.free;
     fleet.workers.push_back(std::move(worker));
   }
   std::stable_sort(fleet.workers.begin(), fleet.workers.end(),
@@ -497,17 +508,22 @@
     sessions_.at(worker.info->id).AddRun(std::move(run));
     call_schedule_.SetDueNow(worker.info->id);
     worker.free -= spec.demand;
+    fleet.pools[worker.info->service].free -= spec.demand;
+    account_shares_.AddRun(PoolAccountOf(job), job.spec.id, spec.demand,
+                           pending.rank.tier == JobTier::kGuaranteed,
+                           now.steady);
     worker.isolation = Isolation::kNone;
   }
-  RecordDecision(core::Event::kJobPlaced,
-                 {{"job", job.spec.id},
-                  {"step", step.spec},
-                  {"tasks", placement.size()},
-                  {"attempt", step.tasks[pending.tasks[0]].attempt},
-                  {"first_worker", fleet.workers[placement[0]].info->id},
-                  {"tier", static_cast<int>(pending.rank.tier)},
-                  {"spare_ms", pending.rank.slack_ms},
-                  {"age_ms", now.wall - job.spec.accepted_at}});
+  core::Json fields = {{"job", job.spec.id},
+                       {"step", step.spec},
+                       {"tasks", placement.size()},
+                       {"attempt", step.tasks[pending.tasks[0]].attempt},
+                       {"first_worker", fleet.workers[placement[0]].info->id},
+                       {"tier", static_cast<int>(pending.rank.tier)},
+                       {"spare_ms", pending.rank.slack_ms},
+                       {"age_ms", now.wall - job.spec.accepted_at}};
+  AddAccountFields(pending, fields);
+  RecordDecision(core::Event::kJobPlaced, std::move(fields));
   evicting_until_.erase(job.IdOf(step, 0));
   pending.tasks.erase(
       pending.tasks.begin(),
--- a/Libraries/LibDispatch/fleet_view.h
+++ b/Libraries/LibDispatch/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -65,11 +66,20 @@
   }
 };
 
+/// Capacity of the workers of one pool together.
+struct PoolCapacity {
+  Resources total;
+  /// Not in use, nor placed on in this pass.
+  Resources free;
+};
+
 /// The workers of one planning pass, ordered by rack.
 struct FleetView {
   std::vector<WorkerView> workers;
   /// First and one past the last worker index of each rack.
   std::vector<std::pair<std::size_t, std::size_t>> racks;
+  /// Capacity of each pool.
+  std::map<std::string, PoolCapacity> pools;
   /// Counts the work of searches; null to count none.
   DispatchLoad* load = nullptr;
 
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -386,6 +386,7 @@
     }
     AdvanceFormerHolders();
     CheckLeaseRows();
+    CheckCharges();
     if (!is_vacant) {
       CheckBegunJobs();
       StoreBatch();
@@ -494,6 +495,18 @@
     }
   }
 
+  /// Checks that accounts are charged for the runs that sessions have.
+  auto CheckCharges() -> void {
+    Resources used;
+    for (const auto& [id, session] : dispatcher_->sessions()) {
+      used += session.used();
+    }
+    if (dispatcher_->account_shares().InUse() != used) {
+      invariants.violations.push_back("charges differ from runs at " +
+                                      std::to_string(now));
+    }
+  }
+
   auto CrashDeadlyWorkers() -> void {
     std::vector<std::pair<std::string, TaskId>> crashed;
     for (const auto& [id, worker] : workers) {
--- a/Tests/LibDispatch/dispatcher_kinds_test.cc
+++ b/Tests/LibDispatch/dispatcher_kinds_test.cc
@@ -55,6 +55,8 @@
   auto job = ScheduledJob(simulation);
   job.first_due_at = simulation.Now().wall + 20000;
   job.repeats = 1;
+  // That of the others, so that only the rank decides.
+  job.account = "council";
   simulation.Submit(job);
   simulation.Run(20000 - 3000);
   for (int number = 0; number < 12; ++number) {
