--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -72,6 +72,7 @@
               Severity::kInfo},
     EventInfo{Event::kDataCentreRestored, "data_centre_restored",
               Severity::kInfo},
+    EventInfo{Event::kRunTimes, "run_times", Severity::kInfo},
     EventInfo{Event::kRowEdited, "row_edited", Severity::kInfo},
     EventInfo{Event::kRoutesTaken, "routes_taken", Severity::kInfo},
     EventInfo{Event::kRoutesRejected, "routes_rejected", Severity::kError},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -71,6 +71,8 @@
   /// The operators let no task start in a data centre.
   kDataCentreEvacuated = 340,
   kDataCentreRestored = 341,
+  /// What the run times of a queue are taken for.
+  kRunTimes = 348,
   /// An operator edited a client account's row (limits, guarantees, token).
   kRowEdited = 400,
   /// A newer version of the operators' configuration (routes of calls,
--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -463,6 +463,7 @@
   }
   StopHungRuns(now);
   WatchSpeeds(now);
+  ReportRunTimes(now);
   StopRunsOnLeavingWorkers(now);
 }
 
--- a/Libraries/LibDispatch/dispatcher.h
+++ b/Libraries/LibDispatch/dispatcher.h
@@ -28,7 +28,7 @@
 #include "LibDispatch/slow_workers.h"
 #include "LibDispatch/worker_health.h"
 #include "LibDispatch/worker_session.h"
-#include "LibSchedule/run_time_estimate.h"
+#include "LibSchedule/run_time_distribution.h"
 
 namespace kcm::dispatch {
 
@@ -295,6 +295,8 @@
   auto StopRunsOnLeavingWorkers(ClockReading now) -> void;
   /// Compares the progress of runs, and moves them off slow workers.
   auto WatchSpeeds(ClockReading now) -> void;
+  /// Logs now and then what the run times of the busiest queues are taken for.
+  auto ReportRunTimes(ClockReading now) -> void;
   auto MoveSlowRuns(ClockReading now) -> void;
   /// @return whether a run on a slow worker would end sooner elsewhere.
   [[nodiscard]] auto IsWorthMoving(const Run& run, const Job& job) const
@@ -396,7 +398,10 @@
   WorkerHealth health_;
   SlowWorkers slow_workers_;
   core::Millis next_speeds_at_ = 0;
-  schedule::RunTimeEstimate estimates_;
+  schedule::RunTimeDistribution estimates_;
+  /// Runs that were counted since the newest report, by queue.
+  std::map<std::string, std::int64_t> runs_since_report_;
+  core::Millis next_run_times_at_ = 0;
   FormerLeases former_leases_;
   /// Bounds on leases that await the first answer of a witness, by witness.
   std::multimap<std::string, std::shared_ptr<FormerLeaseBound>>
--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -90,8 +90,14 @@
   if (!run.adopted) {
     return seen;
   }
-  // It began before this holder saw it first.
-  const auto whole = static_cast<double>(ExpectedRunMs(job, spec, estimates_));
+  // It began before this holder saw it first. If its speed is known, it shows a
+  // run that is longer than usual.
+  const auto remaining = run.RemainingMs();
+  const auto whole =
+      remaining && run.percent < kWholePercent
+          ? static_cast<double>(*remaining) * kWholePercent /
+                (kWholePercent - run.percent)
+          : static_cast<double>(ExpectedRunMs(job, spec, estimates_));
   return std::max(
       seen, static_cast<core::Millis>(whole * run.percent / kWholePercent));
 }
@@ -264,6 +270,7 @@
       return;
     }
   }
+  ++runs_since_report_[job.spec.queue];
   const auto observed = static_cast<double>(now.steady - *run.started_at);
   estimates_.RecordRunTime(
       job.spec.queue, job.SpecOf(step).estimate_ms,
--- a/Libraries/LibDispatch/dispatcher_plan.cc
+++ b/Libraries/LibDispatch/dispatcher_plan.cc
@@ -325,6 +325,8 @@
   request.tasks = static_cast<std::int64_t>(pending.tasks.size());
   request.now = now.steady;
   request.run_ms = ExpectedRunMs(*pending.job, spec, estimates_);
+  request.backfill_ms = estimates_.UpperMs(
+      pending.job->spec.queue, std::max<core::Millis>(spec.estimate_ms, 1));
   request.guaranteed = pending.rank.tier == JobTier::kGuaranteed;
   request.priority = pending.rank.priority;
   for (const auto& task : pending.step->tasks) {
@@ -373,7 +375,8 @@
       request = BuildPlacementRequest(pending, fleet, now);
     } else {
       // Only reservations allow short runs where long ones do not fit.
-      pass.no_capacity.Add(request, pass.has_reserved ? request.run_ms : 0, 0);
+      pass.no_capacity.Add(request, pass.has_reserved ? request.backfill_ms : 0,
+                           0);
     }
   }
   if (PrefersRack(spec)) {
@@ -433,8 +436,8 @@
   ++pass.searches_elsewhere;
   const auto placement = FindPlacement(pass.fleet, elsewhere);
   if (placement.empty()) {
-    pass.no_capacity.Add(elsewhere, pass.has_reserved ? elsewhere.run_ms : 0,
-                         0);
+    pass.no_capacity.Add(elsewhere,
+                         pass.has_reserved ? elsewhere.backfill_ms : 0, 0);
     return;
   }
   auto& since = pending.step->fits_elsewhere_since;
--- a/Libraries/LibDispatch/dispatcher_watch.cc
+++ b/Libraries/LibDispatch/dispatcher_watch.cc
@@ -88,16 +88,18 @@
                                const Job& job,
                                const StepSpec& spec,
                                ClockReading now) const -> core::Millis {
-  const auto whole = ExpectedRunMs(job, spec, estimates_);
   if (!run.started_at) {
-    return now.steady + whole;
+    return now.steady + ExpectedRunMs(job, spec, estimates_);
   }
   if (run.percent <= 0) {
-    return std::max(*run.started_at + whole, now.steady);
+    return now.steady +
+           estimates_.RemainingMs(job.spec.queue,
+                                  std::max<core::Millis>(spec.estimate_ms, 1),
+                                  now.steady - *run.started_at);
   }
-  const auto rest =
-      static_cast<core::Millis>(static_cast<double>(whole) *
-                                (kWholePercent - run.percent) / kWholePercent);
+  const auto rest = static_cast<core::Millis>(
+      static_cast<double>(ExpectedRunMs(job, spec, estimates_)) *
+      (kWholePercent - run.percent) / kWholePercent);
   return std::max(run.reported_at + run.RemainingMs().value_or(rest),
                   now.steady);
 }
--- a/Libraries/LibDispatch/failed_searches.cc
+++ b/Libraries/LibDispatch/failed_searches.cc
@@ -45,7 +45,8 @@
       !failure.guaranteed &&
       (request.guaranteed || request.priority < failure.priority);
   if (failure.service != request.service || may_evict_more ||
-      may_lose > failure.most_loss || request.run_ms < failure.least_run_ms ||
+      may_lose > failure.most_loss ||
+      request.backfill_ms < failure.least_run_ms ||
       !IsAtLeast(step.demand, failure.demand)) {
     return false;
   }
--- a/Libraries/LibDispatch/failed_searches.h
+++ b/Libraries/LibDispatch/failed_searches.h
@@ -24,7 +24,8 @@
   explicit FailedSearches(Goal goal) : goal_(goal) {}
 
   /// Records a request for which the search failed.
-  /// @param least_run_ms the search fails for all run times from this one on.
+  /// @param least_run_ms the search fails for all values of
+  ///     PlacementRequest::backfill_ms from this one on.
   /// @param most_loss for evictions, the search fails for all requests that
   ///     may lose at most this much work.
   auto Add(const PlacementRequest& request,
--- a/Libraries/LibDispatch/job_order.cc
+++ b/Libraries/LibDispatch/job_order.cc
@@ -23,13 +23,15 @@
 
 auto WorkLeft(const Job& job,
               std::span<const Step> steps,
-              const schedule::RunTimeEstimate& estimates) -> double {
+              const schedule::RunTimeDistribution& estimates) -> double {
   double work = 0;
   for (const auto& step : steps) {
     const auto& spec = job.SpecOf(step);
     const auto left = spec.tasks - step.done;
     work += static_cast<double>(
-        left * ExpectedRunMs(job, spec, estimates) *
+        left *
+        estimates.MeanMs(job.spec.queue,
+                         std::max<core::Millis>(spec.estimate_ms, 1)) *
         std::max<std::int64_t>(spec.demand.accelerators, 1));
   }
   return work;
@@ -39,16 +41,17 @@
 
 auto ExpectedRunMs(const Job& job,
                    const StepSpec& step,
-                   const schedule::RunTimeEstimate& estimates) -> core::Millis {
+                   const schedule::RunTimeDistribution& estimates)
+    -> core::Millis {
   return std::max<core::Millis>(
-      estimates.ExpectedRunTime(job.spec.queue,
-                                std::max<core::Millis>(step.estimate_ms, 1)),
+      estimates.MedianMs(job.spec.queue,
+                         std::max<core::Millis>(step.estimate_ms, 1)),
       1);
 }
 
 auto LongestChainMs(const Job& job,
                     std::int64_t occurrence,
-                    const schedule::RunTimeEstimate& estimates,
+                    const schedule::RunTimeDistribution& estimates,
                     bool whole) -> core::Millis {
   const auto steps = StepsOf(job, occurrence);
   std::vector<core::Millis> ends(steps.size());
@@ -71,7 +74,7 @@
 auto RankOf(const Job& job,
             std::int64_t occurrence,
             const QueuePolicy& policy,
-            const schedule::RunTimeEstimate& estimates,
+            const schedule::RunTimeDistribution& estimates,
             bool guaranteed,
             core::Millis now) -> JobRank {
   const auto steps = StepsOf(job, occurrence);
--- a/Libraries/LibDispatch/job_order.h
+++ b/Libraries/LibDispatch/job_order.h
@@ -6,7 +6,7 @@
 
 #include "LibCore/clock.h"
 #include "LibDispatch/job.h"
-#include "LibSchedule/run_time_estimate.h"
+#include "LibSchedule/run_time_distribution.h"
 
 namespace kcm::dispatch {
 
@@ -44,22 +44,23 @@
 /// @return the expected run time of one task of a step.
 [[nodiscard]] auto ExpectedRunMs(const Job& job,
                                  const StepSpec& step,
-                                 const schedule::RunTimeEstimate& estimates)
+                                 const schedule::RunTimeDistribution& estimates)
     -> core::Millis;
 
 /// @return the expected run time of the critical path of one occurrence.
 /// @param whole also counts the steps that are done.
-[[nodiscard]] auto LongestChainMs(const Job& job,
-                                  std::int64_t occurrence,
-                                  const schedule::RunTimeEstimate& estimates,
-                                  bool whole) -> core::Millis;
+[[nodiscard]] auto LongestChainMs(
+    const Job& job,
+    std::int64_t occurrence,
+    const schedule::RunTimeDistribution& estimates,
+    bool whole) -> core::Millis;
 
 /// Ranks one occurrence of a job.
 /// @param now since the Unix epoch.
 [[nodiscard]] auto RankOf(const Job& job,
                           std::int64_t occurrence,
                           const QueuePolicy& policy,
-                          const schedule::RunTimeEstimate& estimates,
+                          const schedule::RunTimeDistribution& estimates,
                           bool guaranteed,
                           core::Millis now) -> JobRank;
 
--- a/Libraries/LibDispatch/placement_finder.cc
+++ b/Libraries/LibDispatch/placement_finder.cc
@@ -374,7 +374,7 @@
 auto FindPlacement(const FleetView& fleet, const PlacementRequest& request)
     -> Placement {
   return FindWithCapacity(fleet, request, [&](const WorkerView& worker) {
-    return worker.FreeCapacityFor(request.now, request.run_ms);
+    return worker.FreeCapacityFor(request.now, request.backfill_ms);
   });
 }
 
@@ -416,7 +416,7 @@
 auto CountWhereFits(const FleetView& fleet, const PlacementRequest& request)
     -> WaitReport {
   const auto free_now = [&](const WorkerView& worker) {
-    return worker.FreeCapacityFor(request.now, request.run_ms);
+    return worker.FreeCapacityFor(request.now, request.backfill_ms);
   };
   const auto count = [&](WorkerRange range, const auto& capacity_of) {
     return static_cast<std::int64_t>(
--- a/Libraries/LibDispatch/placement_finder.h
+++ b/Libraries/LibDispatch/placement_finder.h
@@ -29,7 +29,11 @@
   /// Only workers that keep a task apart at least so far.
   Isolation isolation = Isolation::kNone;
   core::Millis now = 0;
+  /// The usual run time.
   core::Millis run_ms = 0;
+  /// The run time that few runs exceed. Tasks use reserved capacity only if
+  /// they would end sooner even then.
+  core::Millis backfill_ms = 0;
   /// The tasks run under a guarantee and may evict any run that does not.
   bool guaranteed = false;
   /// Tasks without a guarantee evict only runs of a lower priority.
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -327,6 +327,8 @@
   double lost_core_s = 0;
   /// Actual run time of a task, by job; the estimate otherwise.
   std::map<std::string, core::Millis> run_times_ms;
+  /// The same of single tasks, which goes first.
+  std::map<TaskId, core::Millis> task_run_times_ms;
 
  private:
   /// A holder that has not noticed that the term was taken from it.
@@ -758,9 +760,11 @@
     if (const auto* start = std::get_if<StartCall>(&call.command)) {
       const auto& spec = invariants.submitted.at(start->task.job);
       const auto& step = spec.steps[static_cast<std::size_t>(start->task.step)];
-      const auto need = run_times_ms.contains(spec.id)
-                            ? run_times_ms.at(spec.id)
-                            : step.estimate_ms;
+      const auto of_job = run_times_ms.find(spec.id);
+      const auto of_task = task_run_times_ms.find(start->task);
+      const auto need = of_task != task_run_times_ms.end() ? of_task->second
+                        : of_job != run_times_ms.end()     ? of_job->second
+                                                           : step.estimate_ms;
       const auto running = IsRunningAnywhere(start->task);
       const FakeWork work{need, step.demand, step.checkpoints, step.gang};
       if (worker.Start(*start, token, work, now, result)) {
