--- a/Libraries/LibDispatch/dispatcher.cc
+++ b/Libraries/LibDispatch/dispatcher.cc
@@ -470,6 +470,7 @@
   }
   StopHungRuns(now);
   WatchSpeeds(now);
+  ReportRunTimes(now);
   StopRunsOnLeavingWorkers(now);
 }
 
