--- a/Libraries/LibDispatch/dispatcher_ends.cc
+++ b/Libraries/LibDispatch/dispatcher_ends.cc
@@ -40,6 +40,7 @@
                              const EndedRun& ended,
                              ClockReading now) -> void {
   next_plan_at_ = 0;
+  account_shares_.RemoveRun(ended.run.task.job, ended.run.demand, now.steady);
   auto* job = job_table_.FindJob(ended.run.task.job);
   auto* task = job == nullptr ? nullptr : job->FindTask(ended.run.task);
   auto fields = LogFields(worker, ended);
@@ -90,8 +91,14 @@
   if (!run.adopted) {
     return seen;
   }
-  // It began before this holder saw it first.
-  const auto whole = static_cast<double>(ExpectedRunMs(job, spec, estimates_));
+  // It began before this holder saw it first. If its speed is known, it shows a
+  // run that is longer than usual.
+  const auto remaining = run.RemainingMs();
+  const auto whole =
+      remaining && run.percent < kWholePercent
+          ? static_cast<double>(*remaining) * kWholePercent /
+                (kWholePercent - run.percent)
+          : static_cast<double>(ExpectedRunMs(job, spec, estimates_));
   return std::max(
       seen, static_cast<core::Millis>(whole * run.percent / kWholePercent));
 }
@@ -264,6 +271,7 @@
       return;
     }
   }
+  ++runs_since_report_[job.spec.queue];
   const auto observed = static_cast<double>(now.steady - *run.started_at);
   estimates_.RecordRunTime(
       job.spec.queue, job.SpecOf(step).estimate_ms,
--- a/Tests/LibDispatch/dispatch_simulation.h
+++ b/Tests/LibDispatch/dispatch_simulation.h
@@ -343,6 +343,8 @@
   double lost_core_s = 0;
   /// Actual run time of a task, by job; the estimate otherwise.
   std::map<std::string, core::Millis> run_times_ms;
+  /// The same of single tasks, which goes first.
+  std::map<TaskId, core::Millis> task_run_times_ms;
 
  private:
   /// A holder that has not noticed that the term was taken from it.
@@ -402,6 +404,7 @@
     }
     AdvanceFormerHolders();
     CheckLeaseRows();
+    CheckCharges();
     if (!is_vacant) {
       CheckBegunJobs();
       StoreBatch();
@@ -530,6 +533,18 @@
     }
   }
 
+  /// Checks that accounts are charged for the runs that sessions have.
+  auto CheckCharges() -> void {
+    Resources used;
+    for (const auto& [id, session] : dispatcher_->sessions()) {
+      used += session.used();
+    }
+    if (dispatcher_->account_shares().InUse() != used) {
+      invariants.violations.push_back("charges differ from runs at " +
+                                      std::to_string(now));
+    }
+  }
+
   auto CrashDeadlyWorkers() -> void {
     std::vector<std::pair<std::string, TaskId>> crashed;
     for (const auto& [id, worker] : workers) {
@@ -794,9 +809,11 @@
     if (const auto* start = std::get_if<StartCall>(&call.command)) {
       const auto& spec = invariants.submitted.at(start->task.job);
       const auto& step = spec.steps[static_cast<std::size_t>(start->task.step)];
-      const auto need = run_times_ms.contains(spec.id)
-                            ? run_times_ms.at(spec.id)
-                            : step.estimate_ms;
+      const auto of_job = run_times_ms.find(spec.id);
+      const auto of_task = task_run_times_ms.find(start->task);
+      const auto need = of_task != task_run_times_ms.end() ? of_task->second
+                        : of_job != run_times_ms.end()     ? of_job->second
+                                                           : step.estimate_ms;
       const auto running = IsRunningAnywhere(start->task);
       const FakeWork work{need, step.demand, step.checkpoints, step.gang};
       if (worker.Start(*start, token, work, now, result)) {
